--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,162 @@
+// Package edge is the whole of an instance that steers by token, without input
+// and output: one reducer over all events. Packets of established flows carry
+// the token of their upstream, so they need no state; new flows are placed with
+// the help of the instance that accounts for their group of upstreams; the
+// catalog comes from the platform's store, read by a few, and from peers.
+package edge
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/chervilhaven/chervilhaven/internal/catalog"
+	"github.com/chervilhaven/chervilhaven/internal/placer"
+)
+
+// Config describes one instance.
+type Config struct {
+	// Self is the address of this instance for other instances.
+	Self       netip.AddrPort
+	DataCentre string
+	Seeds      []netip.AddrPort
+	Seed       uint64
+	// FlowLifetime is the age at which a flow may be discarded.
+	FlowLifetime time.Duration
+}
+
+// Edge is the reducer of one instance.
+type Edge struct {
+	config    Config
+	random    *rand.Rand
+	started   time.Time
+	stopping  bool
+	catalog   catalog.Catalog
+	placer    placer.Placer
+	upstreams table
+	routes    map[netip.AddrPort]catalog.Route
+	services  map[string]catalog.Service
+	out       map[string]bool
+	roster    roster
+	reader    reader
+	openings  openings
+	counts    Counts
+	effects   []Effect
+	// next is the time of the next Tick.
+	next time.Time
+}
+
+// New returns an instance that holds no catalog yet. The first Tick makes it
+// read the store.
+func New(c Config) *Edge {
+	e := &Edge{config: c, random: rand.New(rand.NewPCG(c.Seed, c.Seed^0x9e3779b97f4a7c15))}
+	e.placer.Random = e.random
+	e.out = make(map[string]bool)
+	e.roster.peers = make(map[netip.AddrPort]*peer)
+	e.openings.flows = make(map[flowID]*opening)
+	e.openings.asks = make(map[uint32]*opening)
+	return e
+}
+
+// Apply returns the effects of the event at the time now. The result is valid
+// until the next call.
+func (e *Edge) Apply(now time.Time, event Event) []Effect {
+	e.effects = e.effects[:0]
+	if e.started.IsZero() {
+		e.start(now)
+	}
+	switch v := event.(type) {
+	case *Packet:
+		e.packet(now, v)
+	case *MessageReceived:
+		e.message(now, v.From, v.Message)
+	case *StoreRead:
+		e.storeRead(now, v)
+	case *StoreFailed:
+		e.storeFailed(now, v)
+	case *Fetched:
+		e.fetched(now, v)
+	case *FetchFailed:
+		e.reader.fetching = false
+		e.log("fetch-failed", "peer", v.From.String(), "error", v.Err.Error())
+	case *SeedsChanged:
+		e.config.Seeds = v.Seeds
+		e.hello()
+	case *Woke:
+		e.woke(now, v.Gap)
+	case *Stopping:
+		e.stopping = true
+		e.log("stopping", "openings", strconv.Itoa(len(e.openings.flows)))
+		e.heartbeat(now, true)
+	case *Tick:
+	}
+	e.tick(now)
+	e.flush()
+	return e.effects
+}
+
+// Next returns the time at which a Tick is due.
+func (e *Edge) Next() time.Time { return e.next }
+
+// Catalog returns what changed after a revision, for a peer's fetch.
+func (e *Edge) Catalog(since catalog.Revision) catalog.Batch { return e.catalog.Since(since) }
+
+// Counts returns what has been counted since the start.
+func (e *Edge) Counts() Counts { return e.counts }
+
+func (e *Edge) start(now time.Time) {
+	e.started = now
+	e.reader.next = now
+	e.hello()
+}
+
+// tick does what is due and sets the time of the next Tick.
+func (e *Edge) tick(now time.Time) {
+	e.next = now.Add(maxTick)
+	if e.roster.due(now) {
+		e.heartbeat(now, false)
+	}
+	e.expireDoubts(now)
+	e.readIfDue(now)
+	e.fetchIfDue(now)
+	e.expireOpenings(now)
+	e.wakeAt(e.roster.next)
+	if !e.reader.reading {
+		e.wakeAt(e.reader.next)
+	}
+}
+
+func (e *Edge) wakeAt(at time.Time) {
+	if !at.IsZero() && at.Before(e.next) {
+		e.next = at
+	}
+}
+
+// woke keeps a pause of this process from counting against others.
+func (e *Edge) woke(now time.Time, gap time.Duration) {
+	for _, p := range e.roster.peers {
+		p.heard = p.heard.Add(gap)
+	}
+	clear(e.openings.flows)
+	clear(e.openings.asks)
+	e.log("woke", "gap", gap.String())
+	e.heartbeat(now, true)
+}
+
+func (e *Edge) emit(f Effect) { e.effects = append(e.effects, f) }
+
+// log emits a line of keys and values.
+func (e *Edge) log(event string, pairs ...string) {
+	fields := make([]Field, 0, len(pairs)/2)
+	for i := 0; i+1 < len(pairs); i += 2 {
+		fields = append(fields, Field{pairs[i], pairs[i+1]})
+	}
+	e.emit(Effect{Kind: Log, Line: Line{Event: event, Fields: fields}})
+}
+
+// Ready tells whether the instance can serve new flows: it holds a
+// configuration and is not about to stop.
+func (e *Edge) Ready() bool {
+	return !e.stopping && e.routes != nil
+}
--- /dev/null
+++ b/internal/edge/news.go
@@ -0,0 +1,220 @@
+package edge
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/chervilhaven/chervilhaven/internal/catalog"
+)
+
+// Bounds of reading the platform's store.
+const (
+	// readers is the number of instances that read the store: the others
+	// depend on both of them failing in the same second.
+	readers = 2
+	// readWait is the time that the store may hold a read open. A silent
+	// connection shows after it, within the tightest bound of 3 s.
+	readWait = time.Second
+	// readGrace is the time past readWait after which a read has failed: a
+	// hundred round trips.
+	readGrace = 400 * time.Millisecond
+	// wholeTimeout bounds the read of everything, which may take pages.
+	wholeTimeout = 1500 * time.Millisecond
+	// readPause spaces the reads of a reader while changes come quickly.
+	readPause = 100 * time.Millisecond
+	// readerStagger is the time by which each instance waits for a better
+	// ranked one to read.
+	readerStagger = 100 * time.Millisecond
+	// minReadBackoff and maxReadBackoff bound the time between failed reads.
+	minReadBackoff = 200 * time.Millisecond
+	maxReadBackoff = time.Second
+	// lackFor is the time for which news that others have may be on their way.
+	lackFor = 60 * time.Millisecond
+	// fetchTimeout bounds one fetch from a peer.
+	fetchTimeout = 800 * time.Millisecond
+	// newsItems bounds the changes that go out in one datagram; more are
+	// fetched.
+	newsItems = 24
+	// knownFor is the time for which a silent instance counts in the size of
+	// the fleet.
+	knownFor = 10 * time.Second
+)
+
+// reader is the state of reading the store and fetching from peers.
+type reader struct {
+	reading bool
+	// reads is true while the last read succeeded.
+	reads bool
+	// next is the time of the next read, or of the next look whether to read.
+	next    time.Time
+	backoff time.Duration
+	// whole asks for everything at the next read.
+	whole bool
+	// waiting is the time since which too few others read.
+	waiting  time.Time
+	fetching bool
+	// lacking is the time since which a peer is known to have more.
+	lacking time.Time
+	// fetchNext is the earliest time of the next fetch.
+	fetchNext time.Time
+}
+
+// readIfDue starts the next read where this instance has to read the store.
+func (e *Edge) readIfDue(now time.Time) {
+	r := &e.reader
+	if r.reading || now.Before(r.next) {
+		return
+	}
+	if !e.mustRead(now) {
+		r.reads = false
+		r.next = now.Add(readerStagger)
+		return
+	}
+	since := e.catalog.Through()
+	if r.whole || since == 0 {
+		r.reading = true
+		e.emit(Effect{Kind: Read, Timeout: wholeTimeout})
+		return
+	}
+	r.reading = true
+	e.emit(Effect{Kind: Read, Since: since, Wait: readWait, Timeout: readWait + readGrace})
+}
+
+// mustRead tells whether fewer than the wanted number of better ranked
+// instances read the store. Those that come first get some time to start.
+func (e *Edge) mustRead(now time.Time) bool {
+	r := &e.reader
+	if e.routes == nil {
+		return true
+	}
+	self := rankOf(e.config.Self, "", 0)
+	active, idle := 0, 0
+	for _, p := range e.roster.peers {
+		if !e.roster.live(now, p) || p.leaving {
+			continue
+		}
+		switch {
+		case p.reads && (p.rank > self || !r.reads):
+			active++
+		case p.rank > self:
+			idle++
+		}
+	}
+	if active >= readers || e.stopping && active > 0 {
+		r.waiting = time.Time{}
+		return false
+	}
+	if r.reads || active+idle < readers {
+		return true
+	}
+	if r.waiting.IsZero() {
+		r.waiting = now
+	}
+	return now.Sub(r.waiting) >= time.Duration(min(idle, 10))*readerStagger
+}
+
+// informed tells whether this instance or one that it hears reads the store.
+func (e *Edge) informed(now time.Time) bool {
+	if e.reader.reads {
+		return true
+	}
+	for _, p := range e.roster.peers {
+		if p.reads && e.roster.live(now, p) {
+			return true
+		}
+	}
+	return false
+}
+
+// storeRead puts what the store says in force and tells the others.
+func (e *Edge) storeRead(now time.Time, v *StoreRead) {
+	r := &e.reader
+	if !r.reads {
+		e.log("store-read", "through", revision(v.Batch.Through), "whole", strconv.FormatBool(v.Batch.Whole))
+	}
+	r.reading, r.reads, r.backoff, r.next = false, true, 0, now
+	if n := len(v.Malformed); n > 0 {
+		e.counts.Malformed += uint64(n)
+		e.log("entries-malformed", "entries", strconv.Itoa(n), "first", v.Malformed[0].Error(), "through", revision(v.Batch.Through))
+	}
+	through := e.catalog.Through()
+	changed, connected := e.catalog.Apply(now, v.Batch)
+	r.whole = !connected
+	e.adopt(now, "store", changed)
+	if e.catalog.Through() > through {
+		r.next = now.Add(readPause)
+		e.spread(changed, &v.Batch)
+	}
+}
+
+// spread tells all peers of changes. Many at once are left to be fetched.
+func (e *Edge) spread(changed []catalog.Item, b *catalog.Batch) {
+	news := &catalog.Batch{Items: changed, Since: b.Since, Through: b.Through}
+	if b.Whole || len(changed) > newsItems {
+		news = nil
+	}
+	for _, p := range e.roster.peers {
+		if p.through < uint64(b.Through) {
+			e.tell(p).News = news
+		}
+	}
+}
+
+func (e *Edge) storeFailed(now time.Time, v *StoreFailed) {
+	r := &e.reader
+	if r.reads || r.backoff == 0 {
+		e.log("store-failed", "error", v.Err.Error(), "history-lost", strconv.FormatBool(v.HistoryLost))
+	}
+	r.reading = false
+	if v.HistoryLost {
+		r.whole, r.next = true, now
+		return
+	}
+	r.reads = false
+	r.backoff = min(max(2*r.backoff, minReadBackoff), maxReadBackoff)
+	r.next = now.Add(r.backoff + time.Duration(e.random.Int64N(int64(r.backoff)/2)))
+}
+
+// news takes over changes that a peer sent.
+func (e *Edge) news(now time.Time, from *peer, b *catalog.Batch) {
+	changed, _ := e.catalog.Apply(now, *b)
+	e.adopt(now, from.address.String(), changed)
+}
+
+// fetchIfDue asks a peer that has more, unless its news arrive in time.
+func (e *Edge) fetchIfDue(now time.Time) {
+	r := &e.reader
+	var best *peer
+	for _, p := range e.roster.peers {
+		if p.through > uint64(e.catalog.Through()) && e.roster.live(now, p) && (best == nil || p.through > best.through) {
+			best = p
+		}
+	}
+	if best == nil {
+		r.lacking = time.Time{}
+		return
+	}
+	if r.lacking.IsZero() {
+		r.lacking = now
+	}
+	due := latest(r.lacking.Add(lackFor), r.fetchNext)
+	if e.routes == nil {
+		due = r.fetchNext
+	}
+	if r.fetching {
+		return
+	}
+	if now.Before(due) {
+		e.wakeAt(due)
+		return
+	}
+	r.fetching, r.fetchNext = true, now.Add(lackFor)
+	e.emit(Effect{Kind: Fetch, Peer: best.address, Since: e.catalog.Through(), Timeout: fetchTimeout})
+}
+
+// fetched takes over what a peer's catalog holds.
+func (e *Edge) fetched(now time.Time, v *Fetched) {
+	e.reader.fetching = false
+	changed, _ := e.catalog.Apply(now, v.Batch)
+	e.adopt(now, v.From.String(), changed)
+}
--- /dev/null
+++ b/internal/edge/roster.go
@@ -0,0 +1,252 @@
+package edge
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/zeebo/xxh3"
+)
+
+// Bounds of the roster.
+const (
+	// heartbeatInterval is the time between two messages to the same peer in a
+	// small fleet: four of them fit into the time in which a reader has to be
+	// replaced.
+	heartbeatInterval = 250 * time.Millisecond
+	// heartbeatSpacing bounds the messages that an instance sends: 125 a
+	// second cost about one percent of the smallest instance's processor.
+	heartbeatSpacing = 8 * time.Millisecond
+	// heartbeatFanout bounds the peers of one round in a large fleet.
+	heartbeatFanout = 100
+	// missedHeartbeats is the number of heartbeats after whose loss a peer
+	// counts as dead; datagrams are lost now and then.
+	missedHeartbeats = 3
+	// strikesToAvoid is the number of unanswered asks in a row after which a
+	// peer does not account until it is heard again.
+	strikesToAvoid = 2
+	// forgetPeerAfter is the time after which a silent peer is not greeted
+	// any more; a restart takes a few seconds, a cut longer.
+	forgetPeerAfter = 2 * time.Minute
+	// messagePeers is the number of other peers that a message names.
+	messagePeers = 6
+	maxTick      = 250 * time.Millisecond
+)
+
+// roster is the other instances.
+type roster struct {
+	peers map[netip.AddrPort]*peer
+	next  time.Time
+	// outbox gathers what one Apply has to tell each peer.
+	outbox []outgoing
+}
+
+type outgoing struct {
+	peer    *peer
+	message *Message
+}
+
+// peer is what is known of another instance.
+type peer struct {
+	address    netip.AddrPort
+	dataCentre string
+	// heard is the time of its last message, zero before the first.
+	heard   time.Time
+	named   time.Time
+	leaving bool
+	reads   bool
+	through uint64
+	// strikes is the number of unanswered asks in a row.
+	strikes int
+	rank    uint64
+}
+
+func (r *roster) due(now time.Time) bool { return !now.Before(r.next) }
+
+// interval is the time between two messages to the same peer.
+func (r *roster) interval() time.Duration {
+	return max(heartbeatInterval, time.Duration(min(len(r.peers), heartbeatFanout))*heartbeatSpacing)
+}
+
+// live tells whether the peer has been heard of late.
+func (r *roster) live(now time.Time, p *peer) bool {
+	return !p.heard.IsZero() && now.Sub(p.heard) <= missedHeartbeats*r.interval()
+}
+
+// add returns the peer at an address.
+func (e *Edge) add(address netip.AddrPort) *peer {
+	if address == e.config.Self || !address.IsValid() {
+		return nil
+	}
+	p, ok := e.roster.peers[address]
+	if !ok {
+		p = &peer{address: address, rank: rankOf(address, "", 0)}
+		e.roster.peers[address] = p
+	}
+	return p
+}
+
+// rankOf orders instances for a duty, the same on all of them (rendezvous
+// hashing).
+func rankOf(address netip.AddrPort, service string, group int) uint64 {
+	b := make([]byte, 0, 64)
+	b, _ = address.AppendBinary(b)
+	b = append(b, service...)
+	b = binary.BigEndian.AppendUint32(b, uint32(group))
+	return xxh3.Hash(b)
+}
+
+// hello greets the seeds, which answer at once and name others.
+func (e *Edge) hello() {
+	for _, s := range e.config.Seeds {
+		if p := e.add(s); p != nil {
+			e.tell(p).Hello = true
+		}
+	}
+}
+
+// heartbeat tells the peers that this instance lives and what it knows.
+func (e *Edge) heartbeat(now time.Time, urgent bool) {
+	r := &e.roster
+	r.next = now.Add(r.interval())
+	targets := make([]*peer, 0, len(r.peers))
+	for address, p := range r.peers {
+		if now.Sub(latest(p.heard, p.named)) > forgetPeerAfter && !slices.Contains(e.config.Seeds, address) {
+			delete(r.peers, address)
+			continue
+		}
+		targets = append(targets, p)
+	}
+	if len(targets) > heartbeatFanout && !urgent {
+		e.random.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+		targets = targets[:heartbeatFanout]
+	}
+	for _, p := range targets {
+		e.tell(p)
+	}
+	e.forgetGone(now)
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// tell returns the message that goes to the peer at the end of this Apply.
+func (e *Edge) tell(p *peer) *Message {
+	for _, o := range e.roster.outbox {
+		if o.peer == p {
+			return o.message
+		}
+	}
+	m := &Message{}
+	e.roster.outbox = append(e.roster.outbox, outgoing{p, m})
+	return m
+}
+
+// flush sends the gathered messages.
+func (e *Edge) flush() {
+	for _, o := range e.roster.outbox {
+		m := o.message
+		m.DataCentre, m.Leaving = e.config.DataCentre, e.stopping
+		m.Through, m.Reads = e.catalog.Through(), e.reader.reads
+		e.addReports(o.peer, m)
+		if m.Asks == nil && m.Grants == nil {
+			m.Peers = e.somePeers(o.peer)
+		}
+		e.emit(Effect{Kind: Tell, Peer: o.peer.address, Message: m})
+	}
+	e.roster.outbox = e.roster.outbox[:0]
+}
+
+// somePeers returns peers heard of late to tell another peer about.
+func (e *Edge) somePeers(to *peer) []netip.AddrPort {
+	list := make([]netip.AddrPort, 0, messagePeers)
+	for _, p := range e.roster.peers {
+		if len(list) == messagePeers {
+			break
+		}
+		if p != to && !p.heard.IsZero() {
+			list = append(list, p.address)
+		}
+	}
+	return list
+}
+
+// message takes in what another instance says.
+func (e *Edge) message(now time.Time, from netip.AddrPort, m *Message) {
+	p := e.add(from)
+	if p == nil {
+		return
+	}
+	if !e.roster.live(now, p) {
+		e.log("peer-heard", "peer", from.String(), "data-centre", m.DataCentre, "peers", strconv.Itoa(len(e.roster.peers)))
+	}
+	p.heard, p.dataCentre, p.leaving, p.reads = now, m.DataCentre, m.Leaving, m.Reads
+	p.through = uint64(m.Through)
+	if m.Asks == nil {
+		p.strikes = 0
+	}
+	for _, a := range m.Peers {
+		if q, ok := e.roster.peers[a]; ok {
+			q.named = now
+		} else if q := e.add(a); q != nil {
+			q.named = now
+			e.tell(q).Hello = true
+		}
+	}
+	if m.Hello {
+		e.tell(p)
+	}
+	if m.News != nil {
+		e.news(now, p, m.News)
+	}
+	for i := range m.Reports {
+		e.reported(now, p, &m.Reports[i])
+	}
+	for i := range m.Asks {
+		e.asked(now, p, &m.Asks[i])
+	}
+	for i := range m.Grants {
+		e.granted(now, p, &m.Grants[i])
+	}
+}
+
+// accountant returns the live instance that accounts for a group of upstreams,
+// nil where it is this one.
+func (e *Edge) accountant(now time.Time, service string, group int) *peer {
+	var best *peer
+	var highest uint64
+	if !e.stopping {
+		highest = rankOf(e.config.Self, service, group)
+	}
+	for _, p := range e.roster.peers {
+		if p.leaving || p.strikes >= strikesToAvoid || !e.roster.live(now, p) {
+			continue
+		}
+		if r := rankOf(p.address, service, group); r > highest {
+			best, highest = p, r
+		}
+	}
+	return best
+}
+
+// mostly tells whether most instances known of late are heard, so that this
+// one is not on the small side of a partition.
+func (e *Edge) mostly(now time.Time) bool {
+	live, known := 1, 1
+	for _, p := range e.roster.peers {
+		if p.heard.IsZero() || now.Sub(p.heard) > knownFor {
+			continue
+		}
+		known++
+		if e.roster.live(now, p) {
+			live++
+		}
+	}
+	return 2*live > known
+}
--- /dev/null
+++ b/internal/host/convert.go
@@ -0,0 +1,173 @@
+package host
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"time"
+
+	"github.com/chervilhaven/chervilhaven/internal/catalog"
+	"github.com/chervilhaven/chervilhaven/internal/edge"
+	"github.com/chervilhaven/chervilhaven/internal/peer/edgev1"
+)
+
+func addressToProto(a netip.AddrPort) (ip, port uint32) {
+	b := a.Addr().Unmap()
+	if !b.Is4() {
+		return 0, 0
+	}
+	bytes := b.As4()
+	return binary.BigEndian.Uint32(bytes[:]), uint32(a.Port())
+}
+
+func addressFromProto(ip, port uint32) netip.AddrPort {
+	var b [4]byte
+	binary.BigEndian.PutUint32(b[:], ip)
+	return netip.AddrPortFrom(netip.AddrFrom4(b), uint16(port))
+}
+
+func messageToProto(m *edge.Message) *edgev1.Message {
+	p := &edgev1.Message{
+		DataCentre: m.DataCentre, Leaving: m.Leaving, Through: uint64(m.Through), Reads: m.Reads, Hello: m.Hello,
+	}
+	for _, a := range m.Peers {
+		ip, port := addressToProto(a)
+		p.Peers = append(p.Peers, &edgev1.Peer{Address: ip, Port: port})
+	}
+	if m.News != nil {
+		p.News = batchToProto(m.News)
+	}
+	for _, a := range m.Asks {
+		p.Asks = append(p.Asks, &edgev1.Ask{Number: a.Number, Service: a.Service, Group: uint32(a.Group), Avoid: a.Avoid})
+	}
+	for _, g := range m.Grants {
+		p.Grants = append(p.Grants, &edgev1.Grant{Number: g.Number, Upstream: g.Upstream})
+	}
+	for _, r := range m.Reports {
+		p.Reports = append(p.Reports, &edgev1.Report{
+			Upstream: r.Upstream, Finished: uint32(r.Finished), Moved: uint32(r.Moved), Taken: uint32(r.Taken), Silent: uint32(r.Silent),
+		})
+	}
+	return p
+}
+
+func messageFromProto(p *edgev1.Message) *edge.Message {
+	m := &edge.Message{
+		DataCentre: p.GetDataCentre(), Leaving: p.GetLeaving(), Through: catalog.Revision(p.GetThrough()),
+		Reads: p.GetReads(), Hello: p.GetHello(),
+	}
+	for _, a := range p.GetPeers() {
+		m.Peers = append(m.Peers, addressFromProto(a.GetAddress(), a.GetPort()))
+	}
+	if p.GetNews() != nil {
+		b := batchFromProto(p.GetNews())
+		m.News = &b
+	}
+	for _, a := range p.GetAsks() {
+		m.Asks = append(m.Asks, edge.Ask{Number: a.GetNumber(), Service: a.GetService(), Group: int(a.GetGroup()), Avoid: a.GetAvoid()})
+	}
+	for _, g := range p.GetGrants() {
+		m.Grants = append(m.Grants, edge.Grant{Number: g.GetNumber(), Upstream: g.GetUpstream()})
+	}
+	for _, r := range p.GetReports() {
+		m.Reports = append(m.Reports, edge.Report{
+			Upstream: r.GetUpstream(), Finished: int(r.GetFinished()), Moved: int(r.GetMoved()), Taken: int(r.GetTaken()), Silent: int(r.GetSilent()),
+		})
+	}
+	return m
+}
+
+func batchToProto(b *catalog.Batch) *edgev1.Batch {
+	p := &edgev1.Batch{Since: uint64(b.Since), Through: uint64(b.Through), Whole: b.Whole}
+	for i := range b.Items {
+		p.Items = append(p.Items, itemToProto(&b.Items[i]))
+	}
+	return p
+}
+
+func itemToProto(i *catalog.Item) *edgev1.Item {
+	p := &edgev1.Item{Key: i.Key, Revision: uint64(i.Revision)}
+	switch {
+	case i.Configuration != nil:
+		p.Value = &edgev1.Item_Configuration{Configuration: configurationToProto(i.Configuration)}
+	case i.Upstream != nil:
+		p.Value = &edgev1.Item_Upstream{Upstream: upstreamToProto(i.Upstream)}
+	case i.Out:
+		p.Value = &edgev1.Item_Evacuation{Evacuation: &edgev1.Evacuation{}}
+	}
+	return p
+}
+
+func configurationToProto(c *catalog.Configuration) *edgev1.Configuration {
+	p := &edgev1.Configuration{Version: c.Version, IdleTimeoutMs: milliseconds(c.IdleTimeout)}
+	index := make(map[string]uint32, len(c.Services))
+	for _, s := range c.Services {
+		index[s.Name] = uint32(len(p.Services))
+		p.Services = append(p.Services, &edgev1.Service{Name: s.Name, ColdMs: milliseconds(s.ColdFor), ColdPerSecond: s.ColdPerSecond})
+	}
+	for _, r := range c.Routes {
+		if _, ok := index[r.Service]; !ok {
+			index[r.Service] = uint32(len(p.Services))
+			p.Services = append(p.Services, &edgev1.Service{Name: r.Service})
+		}
+		ip, port := addressToProto(r.Address)
+		p.Routes = append(p.Routes, &edgev1.Route{
+			Address: ip, Port: port, Service: index[r.Service], Work: uint32(r.Work),
+			TargetMs: milliseconds(r.Target), DeadlineMs: milliseconds(r.Deadline), Priority: uint32(r.Priority),
+		})
+	}
+	return p
+}
+
+func upstreamToProto(u *catalog.Upstream) *edgev1.Upstream {
+	ip, port := addressToProto(u.Address)
+	return &edgev1.Upstream{
+		Number: u.Number, Service: u.Service, Address: ip, Port: port, DataCentre: u.DataCentre,
+		Slots: uint32(u.Slots), Draining: u.Draining, ColdMs: milliseconds(u.ColdFor), Started: u.Started.UnixMilli(),
+	}
+}
+
+func batchFromProto(p *edgev1.Batch) catalog.Batch {
+	b := catalog.Batch{Since: catalog.Revision(p.GetSince()), Through: catalog.Revision(p.GetThrough()), Whole: p.GetWhole()}
+	for _, i := range p.GetItems() {
+		item := catalog.Item{Key: i.GetKey(), Revision: catalog.Revision(i.GetRevision())}
+		switch v := i.GetValue().(type) {
+		case *edgev1.Item_Configuration:
+			item.Configuration = configurationFromProto(v.Configuration)
+		case *edgev1.Item_Upstream:
+			item.Upstream = upstreamFromProto(v.Upstream)
+		case *edgev1.Item_Evacuation:
+			item.Out = true
+		}
+		b.Items = append(b.Items, item)
+	}
+	return b
+}
+
+func configurationFromProto(p *edgev1.Configuration) *catalog.Configuration {
+	c := &catalog.Configuration{Version: p.GetVersion(), IdleTimeout: duration(p.GetIdleTimeoutMs())}
+	for _, s := range p.GetServices() {
+		c.Services = append(c.Services, catalog.Service{Name: s.GetName(), ColdFor: duration(s.GetColdMs()), ColdPerSecond: s.GetColdPerSecond()})
+	}
+	for _, r := range p.GetRoutes() {
+		if int(r.GetService()) >= len(c.Services) {
+			continue
+		}
+		c.Routes = append(c.Routes, catalog.Route{
+			Address: addressFromProto(r.GetAddress(), r.GetPort()), Service: c.Services[r.GetService()].Name,
+			Work: catalog.Work(r.GetWork()), Target: duration(r.GetTargetMs()), Deadline: duration(r.GetDeadlineMs()), Priority: int(r.GetPriority()),
+		})
+	}
+	return c
+}
+
+func upstreamFromProto(p *edgev1.Upstream) *catalog.Upstream {
+	return &catalog.Upstream{
+		Number: p.GetNumber(), Service: p.GetService(), Address: addressFromProto(p.GetAddress(), p.GetPort()),
+		DataCentre: p.GetDataCentre(), Slots: int(p.GetSlots()), Draining: p.GetDraining(),
+		ColdFor: duration(p.GetColdMs()), Started: time.UnixMilli(p.GetStarted()),
+	}
+}
+
+func milliseconds(d time.Duration) uint32 { return uint32(max(d.Milliseconds(), 0)) }
+
+func duration(milliseconds uint32) time.Duration { return time.Duration(milliseconds) * time.Millisecond }
--- a/internal/instance/log.go
+++ b/internal/logging/log.go
@@ -1,4 +1,5 @@
-package instance
+// Package logging writes one line of key=value pairs for each event.
+package logging
 
 import (
 	"io"
@@ -9,8 +10,8 @@
 	"go.uber.org/zap/zapcore"
 )
 
-// NewLog returns a log that writes one line of key=value pairs for each event.
-func NewLog(w io.Writer, level zapcore.Level) *zap.Logger {
+// New returns a log that writes one line of key=value pairs for each event.
+func New(w io.Writer, level zapcore.Level) *zap.Logger {
 	c := zap.NewProductionEncoderConfig()
 	c.TimeKey, c.MessageKey = "time", "event"
 	c.EncodeTime = func(t time.Time, e zapcore.PrimitiveArrayEncoder) {
--- /dev/null
+++ b/internal/placer/placer.go
@@ -0,0 +1,431 @@
+// Package placer chooses the upstream of each new flow: the one where it waits
+// least, by the flows that are outstanding there. It answers a load in which
+// upstreams with two slots are half busy or more, where placing by chance
+// keeps one request in three waiting although slots are free elsewhere.
+package placer
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/chervilhaven/chervilhaven/internal/catalog"
+)
+
+// Bounds of placing.
+const (
+	// groupSize is the number of upstreams of a service up to which one
+	// instance accounts for all of them: it bounds the messages that one
+	// instance gets, and leaves enough slots in a group to level the load.
+	groupSize = 32
+	// outstandingFor is the time after which a flow that nobody saw end no
+	// longer counts: twice the longest answer of an interactive class.
+	outstandingFor = 4 * time.Second
+	// firstWork is the work of a request while none has been measured.
+	firstWork = 30 * time.Millisecond
+	// workShare is the weight of a new measurement, as in RFC 6298.
+	workShare = 1.0 / 8
+	// slowFactor is the work beyond that of the others from which an upstream
+	// counts as slow; within it, differences are those of the requests.
+	slowFactor = 2
+	// refresh is the time after which the measured work of an upstream that
+	// got nothing is halved, so that one that has recovered is tried.
+	refresh = time.Second
+	// silentToSuspect is the number of unanswered openings in a row, each
+	// answered by another upstream, that make an upstream suspect.
+	silentToSuspect = 2
+	// suspectFor and maxSuspectFor bound the time that a suspect gets
+	// nothing; it doubles while trials stay unanswered. The shorter one is the
+	// time in which a crashed upstream is replaced or a cut ends at best.
+	suspectFor    = 2 * time.Second
+	maxSuspectFor = 8 * time.Second
+	// trialWait is the time after which a test without outcome is repeated: a
+	// caller has sent its opening twice by then.
+	trialWait = 500 * time.Millisecond
+	// coldShare is the part of what a cold upstream bears that one instance
+	// gives it. Two instances may account for it while members change.
+	coldShare = 0.5
+)
+
+// State says what an upstream may be used for.
+type State uint8
+
+// States of an upstream.
+const (
+	// Closed upstreams get no new flows.
+	Closed State = iota
+	// Doubtful ones vanished from the store; they are the last choice.
+	Doubtful
+	// Open ones get new flows.
+	Open
+)
+
+// Request describes a new flow.
+type Request struct {
+	Service string
+	// Group restricts the choice to one group; Any does not.
+	Group int
+	// DataCentre is preferred among equals.
+	DataCentre string
+	// Avoid are upstreams not to be used.
+	Avoid []uint64
+	// Cold allows cold upstreams, for the instance that accounts for them.
+	Cold bool
+	// Suspects allows upstreams that do not seem to answer.
+	Suspects bool
+}
+
+// Any is the group of a request that may use all upstreams.
+const Any = -1
+
+// Placer knows the outstanding flows of upstreams. The zero value is empty.
+type Placer struct {
+	// Random breaks ties.
+	Random    *rand.Rand
+	upstreams map[uint64]*upstream
+	pools     map[string]*pool
+	choices   []*upstream
+}
+
+// pool is the upstreams of one service, ordered by number.
+type pool struct {
+	list []*upstream
+	cold float64
+	// usual is the median work of the upstreams, as of measured.
+	usual    time.Duration
+	measured time.Time
+}
+
+type upstream struct {
+	info      catalog.Upstream
+	state     State
+	coldUntil time.Time
+	// granted are the times of the outstanding flows, oldest first.
+	granted []time.Time
+	// coldGrants are the times of the flows of the last second given while cold.
+	coldGrants []time.Time
+	work       time.Duration
+	used       time.Time
+	suspicion  suspicion
+}
+
+// suspicion is the evidence that an upstream does not answer.
+type suspicion struct {
+	silent int
+	// reporters are the sources of the unanswered openings.
+	reporters []string
+	until     time.Time
+	length    time.Duration
+	// trial is the time of the opening that tests a suspect, if any.
+	trial time.Time
+}
+
+// Set takes over what is known of an upstream. A new start of the upstream
+// clears what was measured.
+func (p *Placer) Set(now time.Time, info catalog.Upstream, state State, coldPerSecond float64) {
+	if p.upstreams == nil {
+		p.upstreams, p.pools = make(map[uint64]*upstream), make(map[string]*pool)
+	}
+	u, ok := p.upstreams[info.Number]
+	if ok && u.info.Service != info.Service {
+		p.Remove(info.Number)
+		ok = false
+	}
+	if !ok {
+		u = &upstream{}
+		p.upstreams[info.Number] = u
+		u.info = info
+		p.add(u)
+	}
+	if !info.Started.Equal(u.info.Started) {
+		u.granted, u.work, u.suspicion = u.granted[:0], 0, suspicion{}
+	}
+	u.info, u.state = info, state
+	u.coldUntil = now.Add(info.ColdFor)
+	p.pools[info.Service].cold = coldPerSecond
+}
+
+// SetState changes what an upstream may be used for.
+func (p *Placer) SetState(number uint64, state State) {
+	if u, ok := p.upstreams[number]; ok {
+		u.state = state
+	}
+}
+
+func (p *Placer) add(u *upstream) {
+	l := p.pools[u.info.Service]
+	if l == nil {
+		l = &pool{}
+		p.pools[u.info.Service] = l
+	}
+	i, _ := slices.BinarySearchFunc(l.list, u, byNumber)
+	l.list = slices.Insert(l.list, i, u)
+}
+
+func byNumber(a, b *upstream) int { return cmp.Compare(a.info.Number, b.info.Number) }
+
+// Remove forgets an upstream.
+func (p *Placer) Remove(number uint64) {
+	u, ok := p.upstreams[number]
+	if !ok {
+		return
+	}
+	delete(p.upstreams, number)
+	l := p.pools[u.info.Service]
+	if i, found := slices.BinarySearchFunc(l.list, u, byNumber); found {
+		l.list = slices.Delete(l.list, i, i+1)
+	}
+}
+
+// Groups returns the number of groups of a service.
+func (p *Placer) Groups(service string) int {
+	groups := 1
+	if l := p.pools[service]; l != nil {
+		for len(l.list) > groups*groupSize {
+			groups *= 2
+		}
+	}
+	return groups
+}
+
+// groupOf spreads upstreams over groups; the numbers are random.
+func groupOf(number uint64, groups int) int {
+	return int((number * 0x9e3779b97f4a7c15 >> 32) % uint64(groups))
+}
+
+// Place chooses the upstream of a new flow and counts the flow there. It
+// returns 0 where no upstream may be used.
+func (p *Placer) Place(now time.Time, r Request) uint64 {
+	l := p.pools[r.Service]
+	if l == nil {
+		return 0
+	}
+	l.measure(now)
+	for _, state := range []State{Open, Doubtful} {
+		p.collect(now, l, r, state)
+		if u := p.best(now, l, r); u != nil {
+			u.grant(now)
+			return u.info.Number
+		}
+	}
+	return 0
+}
+
+// Count counts a flow that another instance placed.
+func (p *Placer) Count(now time.Time, number uint64) {
+	if u, ok := p.upstreams[number]; ok {
+		u.grant(now)
+	}
+}
+
+// GroupOf returns the group of an upstream.
+func (p *Placer) GroupOf(service string, number uint64) int {
+	return groupOf(number, p.Groups(service))
+}
+
+// Usable tells whether any upstream of the service may be used at all.
+func (p *Placer) Usable(service string) bool {
+	l := p.pools[service]
+	return l != nil && slices.ContainsFunc(l.list, func(u *upstream) bool { return u.state != Closed })
+}
+
+// collect gathers the upstreams that may be used.
+func (p *Placer) collect(now time.Time, l *pool, r Request, state State) {
+	p.choices = p.choices[:0]
+	groups := 1
+	if r.Group != Any {
+		groups = p.Groups(r.Service)
+	}
+	for _, u := range l.list {
+		switch {
+		case u.state != state, slices.Contains(r.Avoid, u.info.Number):
+		case groups > 1 && groupOf(u.info.Number, groups) != r.Group:
+		case !r.Suspects && !u.suspicion.allows(now), !u.warm(now, l, r.Cold):
+		default:
+			p.choices = append(p.choices, u)
+		}
+	}
+}
+
+// best returns the choice with the shortest time to an answer. Among equals
+// it prefers the data centre, then chance.
+func (p *Placer) best(now time.Time, l *pool, r Request) *upstream {
+	var best *upstream
+	var least time.Duration
+	ties := 0
+	for _, u := range p.choices {
+		c := u.cost(now, l)
+		near := u.info.DataCentre == r.DataCentre
+		switch {
+		case best == nil || c < least || c == least && near && best.info.DataCentre != r.DataCentre:
+			best, least, ties = u, c, 1
+		case c == least && near == (best.info.DataCentre == r.DataCentre):
+			if ties++; p.Random != nil && p.Random.IntN(ties) == 0 {
+				best = u
+			}
+		}
+	}
+	return best
+}
+
+// cost returns the time to the answer of one more flow.
+func (u *upstream) cost(now time.Time, l *pool) time.Duration {
+	u.expire(now)
+	work := l.usual
+	if w := u.workAt(now); w > slowFactor*work {
+		work = w
+	}
+	if now.Before(u.coldUntil) {
+		work *= slowFactor
+	}
+	slots := max(u.info.Slots, 1)
+	waiting := max(0, len(u.granted)+1-slots)
+	// A share of the work for each busy slot prefers idle upstreams.
+	return work + work*time.Duration(waiting)/time.Duration(slots) +
+		work*time.Duration(min(len(u.granted), slots))/time.Duration(4*slots)
+}
+
+func (u *upstream) workAt(now time.Time) time.Duration {
+	idle := now.Sub(u.used)
+	if idle < refresh {
+		return u.work
+	}
+	return u.work >> min(idle/refresh, 16)
+}
+
+func (u *upstream) expire(now time.Time) {
+	n := 0
+	for n < len(u.granted) && now.Sub(u.granted[n]) > outstandingFor {
+		n++
+	}
+	u.granted = slices.Delete(u.granted, 0, n)
+}
+
+func (u *upstream) grant(now time.Time) {
+	u.granted = append(u.granted, now)
+	u.used = now
+	if now.Before(u.coldUntil) {
+		u.coldGrants = append(u.coldGrants, now)
+	}
+	if u.suspicion.length > 0 {
+		u.suspicion.trial = now
+	}
+}
+
+// warm tells whether the upstream bears one more flow as far as its start is
+// concerned.
+func (u *upstream) warm(now time.Time, l *pool, cold bool) bool {
+	if !now.Before(u.coldUntil) {
+		return true
+	}
+	if !cold {
+		return false
+	}
+	n := 0
+	for n < len(u.coldGrants) && now.Sub(u.coldGrants[n]) > time.Second {
+		n++
+	}
+	u.coldGrants = slices.Delete(u.coldGrants, 0, n)
+	return float64(len(u.coldGrants)) < max(1, l.cold*coldShare)
+}
+
+// measure brings the median work up to date.
+func (l *pool) measure(now time.Time) {
+	if now.Sub(l.measured) < refresh/4 && l.usual > 0 {
+		return
+	}
+	l.measured = now
+	works := make([]time.Duration, 0, len(l.list))
+	for _, u := range l.list {
+		if u.work > 0 {
+			works = append(works, u.work)
+		}
+	}
+	l.usual = firstWork
+	if len(works) > 0 {
+		slices.Sort(works)
+		l.usual = works[len(works)/2]
+	}
+}
+
+// Finished counts flows that ended.
+func (p *Placer) Finished(now time.Time, number uint64, flows int) {
+	u, ok := p.upstreams[number]
+	if !ok {
+		return
+	}
+	u.suspicion = suspicion{}
+	for range min(flows, len(u.granted)) {
+		work := now.Sub(u.granted[0])
+		u.granted = slices.Delete(u.granted, 0, 1)
+		if u.work == 0 {
+			u.work = work
+		}
+		u.work += time.Duration(workShare * float64(work-u.work))
+	}
+}
+
+// Moved counts flows that another upstream answered.
+func (p *Placer) Moved(number uint64, flows int) {
+	if u, ok := p.upstreams[number]; ok {
+		u.granted = u.granted[:max(0, len(u.granted)-flows)]
+	}
+}
+
+// Answered notes that the upstream answered an opening.
+func (p *Placer) Answered(number uint64) {
+	if u, ok := p.upstreams[number]; ok {
+		u.suspicion = suspicion{}
+	}
+}
+
+// Silent notes openings that only another upstream answered. The evidence of
+// one source counts for itself; others are believed when two agree. It returns
+// true when the upstream has become suspect.
+func (p *Placer) Silent(now time.Time, number uint64, openings int, reporter string, own bool) bool {
+	u, ok := p.upstreams[number]
+	if !ok {
+		return false
+	}
+	s := &u.suspicion
+	s.silent += openings
+	if !slices.Contains(s.reporters, reporter) {
+		s.reporters = append(s.reporters, reporter)
+	}
+	tested := !s.trial.IsZero()
+	if s.silent < silentToSuspect && !tested || !own && len(s.reporters) < 2 {
+		return false
+	}
+	if now.Before(s.until) && !tested {
+		return false
+	}
+	s.length = min(max(2*s.length, suspectFor), maxSuspectFor)
+	s.until, s.trial = now.Add(s.length), time.Time{}
+	return true
+}
+
+// Suspect tells whether the upstream gets nothing for lack of answers.
+func (p *Placer) Suspect(now time.Time, number uint64) bool {
+	u, ok := p.upstreams[number]
+	return ok && !u.suspicion.allows(now)
+}
+
+// allows tells whether an opening may go to the upstream: one that was
+// suspect gets a single one to test it.
+func (s *suspicion) allows(now time.Time) bool {
+	if s.length == 0 {
+		return true
+	}
+	return !now.Before(s.until) && (s.trial.IsZero() || now.Sub(s.trial) > trialWait)
+}
+
+// Outstanding returns the number of flows counted at the upstream.
+func (p *Placer) Outstanding(now time.Time, number uint64) int {
+	u, ok := p.upstreams[number]
+	if !ok {
+		return 0
+	}
+	u.expire(now)
+	return len(u.granted)
+}
