Queue new flows while upstreams are full, fresh ones first

Cause: after a loss of power the callers of a second come back at once; upstreams shed. Ruled out: the queue alone: instances do not know each other for 0.4 s after the start.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -41,6 +41,10 @@
 	roster    roster
 	reader    reader
 	openings  openings
+	queue     placer.Queue[waiter]
+	// freed is true once an upstream may have become free.
+	freed     bool
+	queueNext time.Time
 	counts    Counts
 	effects   []Effect
 	// next is the time of the next Tick.
@@ -54,6 +58,7 @@
 	e.placer.Random = e.random
 	e.out = make(map[string]bool)
 	e.roster.peers = make(map[netip.AddrPort]*peer)
+	e.openings.visible = unknownVisible
 	e.openings.flows = make(map[flowID]*opening)
 	e.openings.asks = make(map[uint32]*opening)
 	return e
@@ -120,6 +125,7 @@
 	e.expireDoubts(now)
 	e.readIfDue(now)
 	e.fetchIfDue(now)
+	e.serveQueue(now)
 	e.expireOpenings(now)
 	e.wakeAt(e.roster.next)
 	if !e.reader.reading {
--- a/internal/edge/event.go
+++ b/internal/edge/event.go
@@ -105,12 +105,21 @@
 	Group   int
 	// Avoid are upstreams that did not answer the asking instance.
 	Avoid []uint64
+	// Age is the time since the caller opened the flow, Target and Deadline
+	// those of its route.
+	Age      time.Duration
+	Target   time.Duration
+	Deadline time.Duration
+	Priority int
+	Bulk     bool
 }
 
 // Grant names the upstream for a new flow, 0 where none may be used.
 type Grant struct {
 	Number   uint32
 	Upstream uint64
+	// Queued tells that the flow waits for an upstream to become free.
+	Queued bool
 }
 
 // Report tells what became of flows at an upstream.
--- a/internal/edge/opening.go
+++ b/internal/edge/opening.go
@@ -29,8 +29,21 @@
 	// to another upstream. The caller's own copy comes after 200 ms.
 	minHedge = 16 * time.Millisecond
 	maxHedge = 80 * time.Millisecond
+	// visibleShare is the share of acknowledgements that has to pass here for
+	// silence to speak against an upstream. One in four upstreams of a data
+	// centre may be dead.
+	visibleShare = 0.6
+	// visibleWeight is the number of openings over which the share is smoothed.
+	visibleWeight = 8
+	// unknownVisible is the share before the first opening: the fabric is
+	// turning to an instance that has just started.
+	unknownVisible = 0.5
 	// openingFor is the time after which a caller gives an opening up.
 	openingFor = 1400 * time.Millisecond
+	// firstCopy and secondCopy are the times after which a caller repeats its
+	// opening packet.
+	firstCopy  = 200 * time.Millisecond
+	secondCopy = 600 * time.Millisecond
 	// pinnedFor is the time for which a hedged flow is kept to the upstream
 	// that its caller acknowledged; the upstream's own packets have brought
 	// the caller its token by then.
@@ -62,7 +75,10 @@
 	raw   []byte
 	route catalog.Route
 	phase phase
-	first time.Time
+	// opened is the time at which the caller opened the flow, first the time
+	// of its first packet here.
+	opened time.Time
+	first  time.Time
 	// due is the time at which the phase has lasted too long.
 	due time.Time
 	// tries are the upstreams that got the opening, in order.
@@ -71,7 +87,11 @@
 	// ask is the number of the pending ask, accountant whom it went to.
 	ask        uint32
 	accountant *peer
-	group      int
+	// group is the group of upstreams that was drawn for the flow.
+	group   int
+	grouped bool
+	// queued is true while the flow waits for an upstream to become free.
+	queued bool
 	// chosen is the upstream of an opened flow.
 	chosen uint64
 }
@@ -85,6 +105,9 @@
 	// acknowledgement (Jacobson 1988).
 	acknowledgement time.Duration
 	deviation       time.Duration
+	// visible is the smoothed share of openings to upstreams of the own data
+	// centre whose acknowledgement passed here.
+	visible float64
 	// reports wait to be sent to the accounting instances.
 	reports []report
 	flushAt time.Time
@@ -112,7 +135,7 @@
 		e.open(now, id, o, p)
 		return
 	}
-	if o != nil && o.phase != waiting && o.phase != asking {
+	if o != nil && len(o.tries) > 0 {
 		e.established(now, o, p)
 		return
 	}
@@ -148,7 +171,7 @@
 		e.refuse(id, "too-many-openings")
 		return
 	}
-	o = &opening{id: id, raw: slices.Clone(p.Raw), route: route, first: now}
+	o = &opening{id: id, raw: slices.Clone(p.Raw), route: route, first: now, opened: now.Add(-copyAge(p.Copy))}
 	e.openings.flows[id] = o
 	if e.routes == nil {
 		o.due = now.Add(openingFor)
@@ -158,6 +181,18 @@
 	e.choose(now, o)
 }
 
+// copyAge is the age of a flow by the number of its opening packet.
+func copyAge(number uint32) time.Duration {
+	switch number {
+	case 0:
+		return 0
+	case 1:
+		return firstCopy
+	default:
+		return secondCopy
+	}
+}
+
 // placeWaiting places the openings that came before the configuration.
 func (e *Edge) placeWaiting(now time.Time) {
 	if e.routes == nil {
@@ -191,37 +226,61 @@
 // choose finds the next upstream for an opening, with the help of the instance
 // that accounts for a group of upstreams.
 func (e *Edge) choose(now time.Time, o *opening) {
-	groups := e.placer.Groups(o.route.Service)
-	o.group = e.random.IntN(groups)
+	if !o.grouped {
+		o.group, o.grouped = e.random.IntN(e.placer.Groups(o.route.Service)), true
+	}
 	a := e.accountant(now, o.route.Service, o.group)
-	if a == nil || len(o.tries) > 1 {
-		e.chooseAlone(now, o, o.group)
-		return
+	if o.ask == 0 || a != o.accountant {
+		e.openings.ask++
+		o.ask = e.openings.ask
+	}
+	ask := Ask{
+		Number: o.ask, Service: o.route.Service, Group: o.group, Avoid: slices.Clone(o.tries), Age: now.Sub(o.opened),
+		Target: o.route.Target, Deadline: o.route.Deadline, Priority: o.route.Priority, Bulk: o.route.Work == catalog.Bulk,
 	}
-	e.openings.ask++
-	o.phase, o.ask, o.accountant, o.due = asking, e.openings.ask, a, now.Add(askWait)
+	o.phase, o.accountant = asking, a
 	e.openings.asks[o.ask] = o
+	if a == nil {
+		e.askSelf(now, o, &ask)
+		return
+	}
+	o.due = now.Add(askWait)
 	m := e.tell(a)
-	m.Asks = append(m.Asks, Ask{Number: o.ask, Service: o.route.Service, Group: o.group, Avoid: slices.Clone(o.tries)})
+	m.Asks = append(m.Asks, ask)
 	e.wakeAt(o.due)
 }
 
+// askSelf places an opening at the upstreams that this instance accounts for.
+func (e *Edge) askSelf(now time.Time, o *opening, a *Ask) {
+	t := ticketOf(now, a, e.config.DataCentre)
+	number, verdict := e.placeAccounted(now, &t)
+	switch {
+	case verdict == placer.Full && e.queue.Len() < maxQueued:
+		e.queue.Add(waiter{nil, a.Number}, t)
+		o.queued, o.due = true, now.Add(queueRefresh)
+		e.wakeAt(o.due)
+		e.logQueue(o)
+	case verdict == placer.Placed:
+		delete(e.openings.asks, a.Number)
+		e.offer(now, o, number)
+	default:
+		delete(e.openings.asks, a.Number)
+		e.chooseAlone(now, o, placer.Any)
+	}
+}
+
 // chooseAlone places an opening by what this instance knows.
 func (e *Edge) chooseAlone(now time.Time, o *opening, group int) {
 	r := placer.Request{
 		Service: o.route.Service, Group: group, DataCentre: e.config.DataCentre, Avoid: o.tries,
-		Cold: e.accounts(now, o.route.Service, o.group),
-	}
-	number := e.placer.Place(now, r)
-	if number == 0 && group != placer.Any {
-		r.Group = placer.Any
-		number = e.placer.Place(now, r)
+		Bulk: o.route.Work == catalog.Bulk,
 	}
-	if number == 0 {
+	number, verdict := e.placer.Place(now, r)
+	if verdict != placer.Placed {
 		r.Suspects = true
-		number = e.placer.Place(now, r)
+		number, verdict = e.placer.Place(now, r)
 	}
-	if number == 0 {
+	if verdict != placer.Placed {
 		e.unplaced(now, o)
 		return
 	}
@@ -238,7 +297,7 @@
 // outcome of the tries made.
 func (e *Edge) unplaced(now time.Time, o *opening) {
 	if len(o.tries) > 0 {
-		o.phase, o.due = offered, o.first.Add(openingFor)
+		o.phase, o.due = offered, o.opened.Add(openingFor)
 		e.wakeAt(o.due)
 		return
 	}
@@ -259,13 +318,41 @@
 	e.wakeAt(o.due)
 }
 
+// silent goes on after an opening was not acknowledged in time. While the
+// fabric spreads flows anew, acknowledgements pass through other instances: a
+// further upstream would only be loaded in vain.
+func (e *Edge) silent(now time.Time, o *opening) {
+	last := o.tries[len(o.tries)-1]
+	if len(o.tries) == 1 {
+		e.see(last, 0)
+	}
+	if e.openings.visible >= visibleShare {
+		e.hedge(now, o)
+		return
+	}
+	o.due = o.opened.Add(openingFor)
+	e.wakeAt(o.due)
+}
+
+// see takes in whether an acknowledgement passed here. Only upstreams of the
+// own data centre count: others may be cut off.
+func (e *Edge) see(number uint64, share float64) {
+	if u, ok := e.upstreams.byNumber[number]; ok && u.info.DataCentre == e.config.DataCentre {
+		e.openings.visible += (share - e.openings.visible) / visibleWeight
+	}
+}
+
 // hedge sends an opening that stays silent to one more upstream.
 func (e *Edge) hedge(now time.Time, o *opening) {
 	if len(o.tries) >= maxTries {
-		o.due = o.first.Add(openingFor)
+		o.due = o.opened.Add(openingFor)
 		e.wakeAt(o.due)
 		return
 	}
+	last := o.tries[len(o.tries)-1]
+	e.freed = true
+	e.placer.Moved(last, 1)
+	e.report(now, o.route.Service, Report{Upstream: last, Moved: 1})
 	e.choose(now, o)
 }
 
@@ -317,26 +404,40 @@
 func (e *Edge) acknowledged(now time.Time, o *opening, number uint64) {
 	e.counts.Opened++
 	e.placer.Answered(number)
+	e.cancelAsk(o)
 	if len(o.tries) == 1 {
+		e.see(number, 1)
 		e.openings.measure(now.Sub(o.offered))
 		delete(e.openings.flows, o.id)
 		return
 	}
 	for _, t := range o.tries {
 		if t != number {
-			e.moved(now, o.route.Service, t)
+			e.unanswered(now, o.route.Service, t)
 		}
 	}
+	if last := o.tries[len(o.tries)-1]; last != number {
+		e.placer.Moved(last, 1)
+		e.placer.Count(now, number)
+		e.report(now, o.route.Service, Report{Upstream: last, Moved: 1})
+		e.report(now, o.route.Service, Report{Upstream: number, Taken: 1})
+	}
 	o.phase, o.chosen, o.due = opened, number, now.Add(pinnedFor)
 }
 
-// moved notes that an upstream did not get a flow that was offered to it.
-func (e *Edge) moved(now time.Time, service string, number uint64) {
-	e.placer.Moved(number, 1)
+// cancelAsk ends the search for a further upstream.
+func (e *Edge) cancelAsk(o *opening) {
+	delete(e.openings.asks, o.ask)
+	e.queue.Remove(waiter{nil, o.ask})
+}
+
+// unanswered notes that an upstream did not answer an opening that another one
+// answered.
+func (e *Edge) unanswered(now time.Time, service string, number uint64) {
 	if e.placer.Silent(now, number, 1, e.config.Self.String(), true) {
 		e.logSuspect(number, e.config.Self)
 	}
-	e.report(now, service, Report{Upstream: number, Moved: 1, Silent: 1})
+	e.report(now, service, Report{Upstream: number, Silent: 1})
 }
 
 func (e *Edge) logSuspect(number uint64, reporter netip.AddrPort) {
@@ -348,6 +449,7 @@
 // finished notes the end of a flow.
 func (e *Edge) finished(now time.Time, number uint64) {
 	u := e.upstreams.byNumber[number]
+	e.freed = true
 	e.placer.Finished(now, number, 1)
 	e.report(now, u.info.Service, Report{Upstream: number, Finished: 1})
 }
@@ -428,14 +530,14 @@
 		switch {
 		case o.phase == opened:
 			delete(e.openings.flows, id)
-		case now.Sub(o.first) >= openingFor:
+		case now.Sub(o.opened) >= openingFor:
 			e.abandon(now, o)
 		case o.phase == asking:
-			e.unanswered(now, o)
+			e.unheard(now, o)
 		case o.phase == offered:
-			e.hedge(now, o)
+			e.silent(now, o)
 		case o.phase == waiting:
-			o.due = o.first.Add(openingFor)
+			o.due = o.opened.Add(openingFor)
 		}
 	}
 }
@@ -444,10 +546,10 @@
 func (e *Edge) abandon(now time.Time, o *opening) {
 	e.counts.Abandoned++
 	delete(e.openings.flows, o.id)
-	delete(e.openings.asks, o.ask)
-	for _, t := range o.tries {
-		e.placer.Moved(t, 1)
-		e.report(now, o.route.Service, Report{Upstream: t, Moved: 1})
+	e.cancelAsk(o)
+	if n := len(o.tries); n > 0 && o.phase == offered {
+		e.placer.Moved(o.tries[n-1], 1)
+		e.report(now, o.route.Service, Report{Upstream: o.tries[n-1], Moved: 1})
 	}
 	e.flowLog("abandoned", o.id, "tries", strconv.Itoa(len(o.tries)), "phase", strconv.Itoa(int(o.phase)))
 }
--- a/internal/host/convert.go
+++ b/internal/host/convert.go
@@ -37,10 +37,13 @@
 		p.News = batchToProto(m.News)
 	}
 	for _, a := range m.Asks {
-		p.Asks = append(p.Asks, &edgev1.Ask{Number: a.Number, Service: a.Service, Group: uint32(a.Group), Avoid: a.Avoid})
+		p.Asks = append(p.Asks, &edgev1.Ask{
+			Number: a.Number, Service: a.Service, Group: uint32(a.Group), Avoid: a.Avoid, AgeMs: milliseconds(a.Age),
+			TargetMs: milliseconds(a.Target), DeadlineMs: milliseconds(a.Deadline), Priority: uint32(a.Priority), Bulk: a.Bulk,
+		})
 	}
 	for _, g := range m.Grants {
-		p.Grants = append(p.Grants, &edgev1.Grant{Number: g.Number, Upstream: g.Upstream})
+		p.Grants = append(p.Grants, &edgev1.Grant{Number: g.Number, Upstream: g.Upstream, Queued: g.Queued})
 	}
 	for _, r := range m.Reports {
 		p.Reports = append(p.Reports, &edgev1.Report{
@@ -63,10 +66,13 @@
 		m.News = &b
 	}
 	for _, a := range p.GetAsks() {
-		m.Asks = append(m.Asks, edge.Ask{Number: a.GetNumber(), Service: a.GetService(), Group: int(a.GetGroup()), Avoid: a.GetAvoid()})
+		m.Asks = append(m.Asks, edge.Ask{
+			Number: a.GetNumber(), Service: a.GetService(), Group: int(a.GetGroup()), Avoid: a.GetAvoid(), Age: duration(a.GetAgeMs()),
+			Target: duration(a.GetTargetMs()), Deadline: duration(a.GetDeadlineMs()), Priority: int(a.GetPriority()), Bulk: a.GetBulk(),
+		})
 	}
 	for _, g := range p.GetGrants() {
-		m.Grants = append(m.Grants, edge.Grant{Number: g.GetNumber(), Upstream: g.GetUpstream()})
+		m.Grants = append(m.Grants, edge.Grant{Number: g.GetNumber(), Upstream: g.GetUpstream(), Queued: g.GetQueued()})
 	}
 	for _, r := range p.GetReports() {
 		m.Reports = append(m.Reports, edge.Report{
@@ -170,4 +176,6 @@
 
 func milliseconds(d time.Duration) uint32 { return uint32(max(d.Milliseconds(), 0)) }
 
-func duration(milliseconds uint32) time.Duration { return time.Duration(milliseconds) * time.Millisecond }
+func duration(milliseconds uint32) time.Duration {
+	return time.Duration(milliseconds) * time.Millisecond
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -43,6 +43,12 @@
 	// trialWait is the time after which a test without outcome is repeated: a
 	// caller has sent its opening twice by then.
 	trialWait = 500 * time.Millisecond
+	// bulkFactor is the number of bulk flows that share a slot: the transfer
+	// of an answer takes several times the work.
+	bulkFactor = 8
+	// longFlows is the usual length from which flows are taken to stay open
+	// between requests: several times the longest work.
+	longFlows = 500 * time.Millisecond
 	// coldShare is the part of what a cold upstream bears that one instance
 	// gives it. Two instances may account for it while members change.
 	coldShare = 0.5
@@ -74,6 +80,11 @@
 	Cold bool
 	// Suspects allows upstreams that do not seem to answer.
 	Suspects bool
+	// Bounded keeps to the number of flows that an upstream works on at once,
+	// and a few on their way.
+	Bounded bool
+	// Bulk marks flows that last longer than the upstream works for them.
+	Bulk bool
 }
 
 // Any is the group of a request that may use all upstreams.
@@ -194,22 +205,54 @@
 	return int((number * 0x9e3779b97f4a7c15 >> 32) % uint64(groups))
 }
 
-// Place chooses the upstream of a new flow and counts the flow there. It
-// returns 0 where no upstream may be used.
-func (p *Placer) Place(now time.Time, r Request) uint64 {
+// Verdict is the outcome of placing a flow.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// None tells that no upstream may be used.
+	None Verdict = iota
+	// Full tells that all that may be used are at their bound.
+	Full
+	// Placed tells that an upstream was chosen and the flow counted there.
+	Placed
+)
+
+// Place chooses the upstream of a new flow and counts the flow there.
+func (p *Placer) Place(now time.Time, r Request) (uint64, Verdict) {
 	l := p.pools[r.Service]
 	if l == nil {
-		return 0
+		return 0, None
 	}
 	l.measure(now)
+	verdict := None
 	for _, state := range []State{Open, Doubtful} {
 		p.collect(now, l, r, state)
-		if u := p.best(now, l, r); u != nil {
+		u := p.best(now, l, r)
+		switch {
+		case u == nil:
+		case r.Bounded && u.full(now, l, r.Bulk):
+			verdict = Full
+		default:
 			u.grant(now)
-			return u.info.Number
+			return u.info.Number, Placed
 		}
+		if verdict == Full {
+			return 0, Full
+		}
+	}
+	return 0, verdict
+}
+
+// full tells whether the upstream has as many flows as it can work on, and
+// those on their way. Flows that stay open between requests say nothing.
+func (u *upstream) full(now time.Time, l *pool, bulk bool) bool {
+	u.expire(now)
+	slots := max(u.info.Slots, 1)
+	if bulk {
+		slots *= bulkFactor
 	}
-	return 0
+	return l.usual < longFlows && len(u.granted) >= slots+max(1, slots/2)
 }
 
 // Count counts a flow that another instance placed.
