--- a/internal/edge/account.go
+++ b/internal/edge/account.go
@@ -13,36 +13,78 @@
 	// then several instances may believe that they account for the same
 	// upstreams.
 	settleFor = 1500 * time.Millisecond
+	// growFor is the time without a new peer after which the roster counts as
+	// complete: a greeting and its answer between data centres, and the same
+	// again for those that the answer names, on busy processors.
+	growFor = 80 * time.Millisecond
+	// startInstances is the number of instances in a data centre that are
+	// taken to start together: today's sites have 7 to 9 in four.
+	startInstances = 2
 	// queueRefresh is the time after which a waiting flow is asked for again,
 	// in case the accounting instance is gone.
 	queueRefresh = 100 * time.Millisecond
+	// answerTime is the time that a caller needs at least to hear that its
+	// flow was opened: two crossings and the way between data centres.
+	answerTime = 20 * time.Millisecond
 	// queueTick is the time between looks at waiting flows while nothing ends.
 	queueTick = 20 * time.Millisecond
-	// maxQueued bounds the flows that wait at one instance.
-	maxQueued = 4096
 )
 
-// waiter names a waiting flow: the peer that asked, nil for this instance, and
-// the number of the ask.
-type waiter struct {
+// asker is who asked for a flow: a peer, nil for this instance, and the number
+// of the ask.
+type asker struct {
 	peer   *peer
 	number uint32
 }
 
+// given is an upstream that was granted for a flow.
+type given struct {
+	upstream uint64
+	at       time.Time
+}
+
+// accounts is what this instance keeps for the upstreams that it accounts for.
+type accounts struct {
+	queue  placer.Queue[uint64]
+	askers map[uint64]asker
+	// given are the flows granted of late: a caller's copy may reach another
+	// instance, which asks again.
+	given map[uint64]given
+	// freed is true once an upstream may have become free.
+	freed bool
+	next  time.Time
+}
+
 // asked places a flow of another instance, or lets it wait.
 func (e *Edge) asked(now time.Time, p *peer, a *Ask) {
 	t := ticketOf(now, a, p.dataCentre)
-	g := Grant{Number: a.Number}
-	number, verdict := e.placeAccounted(now, &t)
-	switch {
-	case verdict == placer.Placed:
-		g.Upstream = number
-	case verdict == placer.Full && e.queue.Len() < maxQueued:
-		e.queue.Add(waiter{p, a.Number}, t)
-		g.Queued = true
-	}
+	number, verdict := e.account(now, asker{p, a.Number}, a.Flow, &t)
 	m := e.tell(p)
-	m.Grants = append(m.Grants, g)
+	m.Grants = append(m.Grants, Grant{Number: a.Number, Upstream: number, Queued: verdict == placer.Full})
+}
+
+// account places a flow, or lets it wait where the upstreams are full. Who asks
+// for a flow that was granted to another instance gets the same upstream.
+func (e *Edge) account(now time.Time, by asker, flow uint64, t *placer.Ticket) (uint64, placer.Verdict) {
+	s := &e.accounts
+	if g, ok := s.given[flow]; ok {
+		if !slices.Contains(t.Request.Avoid, g.upstream) {
+			return g.upstream, placer.Placed
+		}
+		delete(s.given, flow)
+		e.placer.Moved(g.upstream, 1)
+	}
+	number, verdict := e.placeAccounted(now, t)
+	switch verdict {
+	case placer.Placed:
+		s.given[flow] = given{number, now}
+		s.queue.Remove(flow)
+	case placer.Full:
+		s.queue.Add(flow, *t)
+		s.askers[flow] = by
+	case placer.None:
+	}
+	return number, verdict
 }
 
 func ticketOf(now time.Time, a *Ask, dataCentre string) placer.Ticket {
@@ -50,46 +92,90 @@
 		Request: placer.Request{
 			Service: a.Service, Group: a.Group, DataCentre: dataCentre, Avoid: a.Avoid, Bounded: true, Bulk: a.Bulk,
 		},
-		Opened: now.Add(-a.Age), Target: a.Target, Deadline: a.Deadline, Priority: a.Priority,
+		Opened: now.Add(-a.Age), Seen: now.Add(-a.Seen), Asked: now, Target: a.Target, Deadline: min(a.Deadline, openingFor-answerTime), Priority: a.Priority,
 	}
 }
 
 // placeAccounted places a flow at one of the upstreams that this instance
 // accounts for.
 func (e *Edge) placeAccounted(now time.Time, t *placer.Ticket) (uint64, placer.Verdict) {
-	t.Request.Cold = e.accounts(now, t.Request.Service, t.Request.Group)
+	t.Request.Limit = 0
+	if (e.starting(now) || t.Alone) && t.Late(now) {
+		t.Request.Limit = e.startShare(t.Request.Service)
+	}
+	t.Request.Cold = e.coldAllowed(now, t.Request.Service, t.Request.Group)
 	return e.placer.Place(now, t.Request)
 }
 
+// starting tells whether the instance has just started and does not know yet
+// who else has.
+func (e *Edge) starting(now time.Time) bool {
+	return now.Sub(e.started) < settleFor && (!e.roster.heard || now.Sub(e.roster.grown) < growFor)
+}
+
+// startShare is the number of flows within the time that a flow takes beyond
+// which this instance leaves late flows waiting, while it has just started: the
+// instances that start with it share the same upstreams.
+func (e *Edge) startShare(service string) int {
+	slots, dataCentres := e.placer.Slots(service)
+	return max(1, (slots+slots/2)/max(1, dataCentres*startInstances))
+}
+
 // serveQueue gives waiting flows the upstreams that have become free.
 func (e *Edge) serveQueue(now time.Time) {
-	if e.queue.Len() == 0 {
+	s := &e.accounts
+	if s.queue.Len() == 0 {
+		clear(s.askers)
 		return
 	}
-	if !e.freed && now.Before(e.queueNext) {
-		e.wakeAt(e.queueNext)
+	if !s.freed && now.Before(s.next) {
+		e.wakeAt(s.next)
 		return
 	}
-	e.freed, e.queueNext = false, now.Add(queueTick)
-	e.wakeAt(e.queueNext)
-	e.queue.Serve(now, func(w waiter, t *placer.Ticket) bool {
+	s.freed, s.next = false, now.Add(queueTick)
+	e.wakeAt(s.next)
+	s.queue.Serve(now, func(flow uint64, t *placer.Ticket) bool {
 		number, verdict := e.placeAccounted(now, t)
 		if verdict == placer.Full {
 			return false
 		}
-		if w.peer != nil {
-			m := e.tell(w.peer)
-			m.Grants = append(m.Grants, Grant{Number: w.number, Upstream: number})
-		} else if o, ok := e.openings.asks[w.number]; ok {
-			delete(e.openings.asks, w.number)
-			e.use(now, o, number)
-		} else {
-			e.placer.Moved(number, 1)
+		if verdict == placer.Placed {
+			s.given[flow] = given{number, now}
 		}
+		e.answer(now, s.askers[flow], number)
 		return true
 	})
 }
 
+// answer tells who asked for a flow which upstream it gets.
+func (e *Edge) answer(now time.Time, by asker, number uint64) {
+	if by.peer != nil {
+		m := e.tell(by.peer)
+		m.Grants = append(m.Grants, Grant{Number: by.number, Upstream: number})
+		return
+	}
+	o, ok := e.openings.asks[by.number]
+	if !ok {
+		e.placer.Moved(number, 1)
+		return
+	}
+	delete(e.openings.asks, by.number)
+	if _, known := e.upstreams.byNumber[number]; known {
+		e.offer(now, o, number)
+	} else {
+		e.chooseAlone(now, o)
+	}
+}
+
+// forgetGiven drops grants that nobody can ask for again.
+func (e *Edge) forgetGiven(now time.Time) {
+	for flow, g := range e.accounts.given {
+		if now.Sub(g.at) > openingFor {
+			delete(e.accounts.given, flow)
+		}
+	}
+}
+
 // granted uses the upstream that the accounting instance chose.
 func (e *Edge) granted(now time.Time, p *peer, g *Grant) {
 	p.strikes = 0
@@ -109,22 +195,13 @@
 	usable := known && e.stateOf(u) != placer.Closed && !slices.Contains(o.tries, g.Upstream)
 	if !usable || e.placer.Suspect(now, g.Upstream) {
 		e.release(now, g.Upstream)
-		e.chooseAlone(now, o, placer.Any)
+		e.chooseAlone(now, o)
 		return
 	}
 	e.placer.Count(now, g.Upstream)
 	e.offer(now, o, g.Upstream)
 }
 
-// use offers a flow of this instance to an upstream that it accounts for.
-func (e *Edge) use(now time.Time, o *opening, number uint64) {
-	if _, known := e.upstreams.byNumber[number]; !known {
-		e.chooseAlone(now, o, placer.Any)
-		return
-	}
-	e.offer(now, o, number)
-}
-
 // release gives a grant back that is not used.
 func (e *Edge) release(now time.Time, number uint64) {
 	if u, ok := e.upstreams.byNumber[number]; ok {
@@ -147,7 +224,7 @@
 			e.log("accountant-silent", "peer", o.accountant.address.String(), "service", o.route.Service)
 		}
 	}
-	e.chooseAlone(now, o, placer.Any)
+	e.chooseAlone(now, o)
 }
 
 // reported takes in what became of flows of another instance.
@@ -155,7 +232,7 @@
 	for range min(r.Taken, maxOpenings) {
 		e.placer.Count(now, r.Upstream)
 	}
-	e.freed = e.freed || r.Finished+r.Moved > 0
+	e.accounts.freed = e.accounts.freed || r.Finished+r.Moved > 0
 	if r.Finished > 0 {
 		e.placer.Finished(now, r.Upstream, r.Finished)
 	}
@@ -169,5 +246,5 @@
 
 // logQueue notes that flows have begun to wait.
 func (e *Edge) logQueue(o *opening) {
-	e.flowLog("queued", o.id, "service", o.route.Service, "group", strconv.Itoa(o.group), "waiting", strconv.Itoa(e.queue.Len()))
+	e.flowLog("queued", o.id, "service", o.route.Service, "group", strconv.Itoa(o.group), "waiting", strconv.Itoa(e.accounts.queue.Len()))
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -41,10 +41,7 @@
 	roster    roster
 	reader    reader
 	openings  openings
-	queue     placer.Queue[waiter]
-	// freed is true once an upstream may have become free.
-	freed     bool
-	queueNext time.Time
+	accounts  accounts
 	counts    Counts
 	effects   []Effect
 	// next is the time of the next Tick.
@@ -58,6 +55,7 @@
 	e.placer.Random = e.random
 	e.out = make(map[string]bool)
 	e.roster.peers = make(map[netip.AddrPort]*peer)
+	e.accounts.askers, e.accounts.given = make(map[uint64]asker), make(map[uint64]given)
 	e.openings.visible = unknownVisible
 	e.openings.flows = make(map[flowID]*opening)
 	e.openings.asks = make(map[uint32]*opening)
--- a/internal/edge/event.go
+++ b/internal/edge/event.go
@@ -100,14 +100,17 @@
 
 // Ask wants an upstream for a new flow.
 type Ask struct {
-	Number  uint32
+	Number uint32
+	// Flow is a hash of the flow: another instance may ask for the same one.
+	Flow    uint64
 	Service string
 	Group   int
 	// Avoid are upstreams that did not answer the asking instance.
 	Avoid []uint64
-	// Age is the time since the caller opened the flow, Target and Deadline
-	// those of its route.
+	// Age is the time since the caller opened the flow, Seen that since its
+	// last packet; Target and Deadline are those of its route.
 	Age      time.Duration
+	Seen     time.Duration
 	Target   time.Duration
 	Deadline time.Duration
 	Priority int
--- a/internal/edge/opening.go
+++ b/internal/edge/opening.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"github.com/chervilhaven/chervilhaven/internal/catalog"
 	"github.com/chervilhaven/chervilhaven/internal/placer"
 	"github.com/chervilhaven/chervilhaven/internal/token"
@@ -55,6 +57,13 @@
 // flowID names a flow: its caller and its public address.
 type flowID struct{ source, destination netip.AddrPort }
 
+func (f flowID) hash() uint64 {
+	b := make([]byte, 0, 48)
+	b, _ = f.source.AppendBinary(b)
+	b, _ = f.destination.AppendBinary(b)
+	return xxh3.Hash(b)
+}
+
 // phase is how far an opening has come.
 type phase uint8
 
@@ -79,6 +88,8 @@
 	// of its first packet here.
 	opened time.Time
 	first  time.Time
+	// seen is the time of the caller's last opening packet.
+	seen time.Time
 	// due is the time at which the phase has lasted too long.
 	due time.Time
 	// tries are the upstreams that got the opening, in order.
@@ -171,7 +182,7 @@
 		e.refuse(id, "too-many-openings")
 		return
 	}
-	o = &opening{id: id, raw: slices.Clone(p.Raw), route: route, first: now, opened: now.Add(-copyAge(p.Copy))}
+	o = &opening{id: id, raw: slices.Clone(p.Raw), route: route, first: now, opened: now.Add(-copyAge(p.Copy)), seen: now}
 	e.openings.flows[id] = o
 	if e.routes == nil {
 		o.due = now.Add(openingFor)
@@ -216,9 +227,12 @@
 // repeated handles the caller's copy of an opening: the last upstream did not
 // answer, or its answer was lost.
 func (e *Edge) repeated(now time.Time, o *opening) {
+	o.seen = now
 	switch o.phase {
 	case offered:
-		e.hedge(now, o)
+		if now.Sub(o.offered) >= e.openings.hedgeAfter() {
+			e.hedge(now, o)
+		}
 	case opened, waiting, asking:
 	}
 }
@@ -234,12 +248,9 @@
 		e.openings.ask++
 		o.ask = e.openings.ask
 	}
-	ask := Ask{
-		Number: o.ask, Service: o.route.Service, Group: o.group, Avoid: slices.Clone(o.tries), Age: now.Sub(o.opened),
-		Target: o.route.Target, Deadline: o.route.Deadline, Priority: o.route.Priority, Bulk: o.route.Work == catalog.Bulk,
-	}
 	o.phase, o.accountant = asking, a
 	e.openings.asks[o.ask] = o
+	ask := e.askFor(now, o)
 	if a == nil {
 		e.askSelf(now, o, &ask)
 		return
@@ -250,46 +261,57 @@
 	e.wakeAt(o.due)
 }
 
+func (e *Edge) askFor(now time.Time, o *opening) Ask {
+	return Ask{
+		Number: o.ask, Flow: o.id.hash(), Service: o.route.Service, Group: o.group, Avoid: slices.Clone(o.tries), Age: now.Sub(o.opened), Seen: now.Sub(o.seen),
+		Target: o.route.Target, Deadline: o.route.Deadline, Priority: o.route.Priority, Bulk: o.route.Work == catalog.Bulk,
+	}
+}
+
 // askSelf places an opening at the upstreams that this instance accounts for.
 func (e *Edge) askSelf(now time.Time, o *opening, a *Ask) {
 	t := ticketOf(now, a, e.config.DataCentre)
-	number, verdict := e.placeAccounted(now, &t)
-	switch {
-	case verdict == placer.Full && e.queue.Len() < maxQueued:
-		e.queue.Add(waiter{nil, a.Number}, t)
-		o.queued, o.due = true, now.Add(queueRefresh)
-		e.wakeAt(o.due)
-		e.logQueue(o)
-	case verdict == placer.Placed:
-		delete(e.openings.asks, a.Number)
-		e.offer(now, o, number)
-	default:
-		delete(e.openings.asks, a.Number)
-		e.chooseAlone(now, o, placer.Any)
-	}
+	e.placeOwn(now, o, a, &t)
 }
 
-// chooseAlone places an opening by what this instance knows.
-func (e *Edge) chooseAlone(now time.Time, o *opening, group int) {
-	r := placer.Request{
-		Service: o.route.Service, Group: group, DataCentre: e.config.DataCentre, Avoid: o.tries,
-		Bulk: o.route.Work == catalog.Bulk,
-	}
-	number, verdict := e.placer.Place(now, r)
-	if verdict != placer.Placed {
-		r.Suspects = true
-		number, verdict = e.placer.Place(now, r)
+// chooseAlone places an opening by what this instance knows, at its share of
+// the pace of all: the others may have to do the same.
+func (e *Edge) chooseAlone(now time.Time, o *opening) {
+	ask := e.askFor(now, o)
+	t := ticketOf(now, &ask, e.config.DataCentre)
+	t.Request.Group, t.Alone = placer.Any, true
+	e.openings.asks[o.ask] = o
+	if number := e.placeOwn(now, o, &ask, &t); number != 0 {
+		e.report(now, o.route.Service, Report{Upstream: number, Taken: 1})
 	}
-	if verdict != placer.Placed {
-		e.unplaced(now, o)
-		return
+}
+
+// placeOwn places an opening without another instance, or lets it wait here.
+func (e *Edge) placeOwn(now time.Time, o *opening, a *Ask, t *placer.Ticket) uint64 {
+	number, verdict := e.account(now, asker{nil, a.Number}, a.Flow, t)
+	switch verdict {
+	case placer.Full:
+		o.phase, o.queued, o.due = asking, true, now.Add(queueRefresh)
+		e.wakeAt(o.due)
+		if now.Equal(o.first) {
+			e.logQueue(o)
+		}
+		return 0
+	case placer.None:
+		t.Request.Suspects = true
+		if number, verdict = e.placer.Place(now, t.Request); verdict != placer.Placed {
+			e.unplaced(now, o)
+			return 0
+		}
+	case placer.Placed:
 	}
-	e.report(now, o.route.Service, Report{Upstream: number, Taken: 1})
+	delete(e.openings.asks, a.Number)
 	e.offer(now, o, number)
+	return number
 }
 
-// accounts tells whether this instance may give flows to cold upstreams.
-func (e *Edge) accounts(now time.Time, service string, group int) bool {
+// coldAllowed tells whether this instance may give flows to cold upstreams.
+func (e *Edge) coldAllowed(now time.Time, service string, group int) bool {
 	return now.Sub(e.started) >= settleFor && e.accountant(now, service, group) == nil && e.mostly(now)
 }
 
@@ -326,7 +348,7 @@
 	if len(o.tries) == 1 {
 		e.see(last, 0)
 	}
-	if e.openings.visible >= visibleShare {
+	if e.openings.visible >= visibleShare && !e.starting(now) {
 		e.hedge(now, o)
 		return
 	}
@@ -349,10 +371,6 @@
 		e.wakeAt(o.due)
 		return
 	}
-	last := o.tries[len(o.tries)-1]
-	e.freed = true
-	e.placer.Moved(last, 1)
-	e.report(now, o.route.Service, Report{Upstream: last, Moved: 1})
 	e.choose(now, o)
 }
 
@@ -428,7 +446,7 @@
 // cancelAsk ends the search for a further upstream.
 func (e *Edge) cancelAsk(o *opening) {
 	delete(e.openings.asks, o.ask)
-	e.queue.Remove(waiter{nil, o.ask})
+	e.accounts.queue.Remove(o.id.hash())
 }
 
 // unanswered notes that an upstream did not answer an opening that another one
@@ -449,7 +467,7 @@
 // finished notes the end of a flow.
 func (e *Edge) finished(now time.Time, number uint64) {
 	u := e.upstreams.byNumber[number]
-	e.freed = true
+	e.accounts.freed = true
 	e.placer.Finished(now, number, 1)
 	e.report(now, u.info.Service, Report{Upstream: number, Finished: 1})
 }
--- a/internal/edge/roster.go
+++ b/internal/edge/roster.go
@@ -27,18 +27,27 @@
 	// strikesToAvoid is the number of unanswered asks in a row after which a
 	// peer does not account until it is heard again.
 	strikesToAvoid = 2
+	// greetInterval is the time between greetings of seeds until one answers:
+	// all instances may start at once, the seeds last.
+	greetInterval = 25 * time.Millisecond
 	// forgetPeerAfter is the time after which a silent peer is not greeted
 	// any more; a restart takes a few seconds, a cut longer.
 	forgetPeerAfter = 2 * time.Minute
 	// messagePeers is the number of other peers that a message names.
 	messagePeers = 6
-	maxTick      = 250 * time.Millisecond
+	// helloPeers is the number of peers that the answer to a greeting names.
+	helloPeers = 32
+	maxTick    = 250 * time.Millisecond
 )
 
 // roster is the other instances.
 type roster struct {
 	peers map[netip.AddrPort]*peer
 	next  time.Time
+	// heard is true once any peer has been heard.
+	heard bool
+	// grown is the time at which a peer was last heard for the first time.
+	grown time.Time
 	// outbox gathers what one Apply has to tell each peer.
 	outbox []outgoing
 }
@@ -111,6 +120,10 @@
 func (e *Edge) heartbeat(now time.Time, urgent bool) {
 	r := &e.roster
 	r.next = now.Add(r.interval())
+	if !r.heard {
+		r.next = now.Add(greetInterval)
+		e.hello()
+	}
 	targets := make([]*peer, 0, len(r.peers))
 	for address, p := range r.peers {
 		if now.Sub(latest(p.heard, p.named)) > forgetPeerAfter && !slices.Contains(e.config.Seeds, address) {
@@ -127,6 +140,7 @@
 		e.tell(p)
 	}
 	e.forgetGone(now)
+	e.forgetGiven(now)
 }
 
 func latest(a, b time.Time) time.Time {
@@ -155,8 +169,8 @@
 		m.DataCentre, m.Leaving = e.config.DataCentre, e.stopping
 		m.Through, m.Reads = e.catalog.Through(), e.reader.reads
 		e.addReports(o.peer, m)
-		if m.Asks == nil && m.Grants == nil {
-			m.Peers = e.somePeers(o.peer)
+		if m.Asks == nil && m.Grants == nil && m.Peers == nil {
+			m.Peers = e.somePeers(o.peer, messagePeers)
 		}
 		e.emit(Effect{Kind: Tell, Peer: o.peer.address, Message: m})
 	}
@@ -164,10 +178,10 @@
 }
 
 // somePeers returns peers heard of late to tell another peer about.
-func (e *Edge) somePeers(to *peer) []netip.AddrPort {
-	list := make([]netip.AddrPort, 0, messagePeers)
+func (e *Edge) somePeers(to *peer, count int) []netip.AddrPort {
+	list := make([]netip.AddrPort, 0, count)
 	for _, p := range e.roster.peers {
-		if len(list) == messagePeers {
+		if len(list) == count {
 			break
 		}
 		if p != to && !p.heard.IsZero() {
@@ -186,6 +200,9 @@
 	if !e.roster.live(now, p) {
 		e.log("peer-heard", "peer", from.String(), "data-centre", m.DataCentre, "peers", strconv.Itoa(len(e.roster.peers)))
 	}
+	if e.roster.heard = true; p.heard.IsZero() {
+		e.roster.grown = now
+	}
 	p.heard, p.dataCentre, p.leaving, p.reads = now, m.DataCentre, m.Leaving, m.Reads
 	p.through = uint64(m.Through)
 	if m.Asks == nil {
@@ -200,7 +217,7 @@
 		}
 	}
 	if m.Hello {
-		e.tell(p)
+		e.tell(p).Peers = e.somePeers(p, helloPeers)
 	}
 	if m.News != nil {
 		e.news(now, p, m.News)
--- a/internal/host/convert.go
+++ b/internal/host/convert.go
@@ -39,7 +39,7 @@
 	for _, a := range m.Asks {
 		p.Asks = append(p.Asks, &edgev1.Ask{
 			Number: a.Number, Service: a.Service, Group: uint32(a.Group), Avoid: a.Avoid, AgeMs: milliseconds(a.Age),
-			TargetMs: milliseconds(a.Target), DeadlineMs: milliseconds(a.Deadline), Priority: uint32(a.Priority), Bulk: a.Bulk,
+			TargetMs: milliseconds(a.Target), DeadlineMs: milliseconds(a.Deadline), Priority: uint32(a.Priority), Bulk: a.Bulk, Flow: a.Flow, SeenMs: milliseconds(a.Seen),
 		})
 	}
 	for _, g := range m.Grants {
@@ -68,7 +68,7 @@
 	for _, a := range p.GetAsks() {
 		m.Asks = append(m.Asks, edge.Ask{
 			Number: a.GetNumber(), Service: a.GetService(), Group: int(a.GetGroup()), Avoid: a.GetAvoid(), Age: duration(a.GetAgeMs()),
-			Target: duration(a.GetTargetMs()), Deadline: duration(a.GetDeadlineMs()), Priority: int(a.GetPriority()), Bulk: a.GetBulk(),
+			Target: duration(a.GetTargetMs()), Deadline: duration(a.GetDeadlineMs()), Priority: int(a.GetPriority()), Bulk: a.GetBulk(), Flow: a.GetFlow(), Seen: duration(a.GetSeenMs()),
 		})
 	}
 	for _, g := range p.GetGrants() {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -19,9 +19,14 @@
 	// instance accounts for all of them: it bounds the messages that one
 	// instance gets, and leaves enough slots in a group to level the load.
 	groupSize = 32
-	// outstandingFor is the time after which a flow that nobody saw end no
-	// longer counts: twice the longest answer of an interactive class.
-	outstandingFor = 4 * time.Second
+	// outstandingFactor times the usual length of a flow is the time after
+	// which a flow that nobody saw end no longer counts: its end passed another
+	// instance. Nearly all work is shorter, and a flow that is counted too long
+	// keeps a free upstream idle.
+	outstandingFactor = 4
+	// recentFor is the time for which flows count towards a Limit: about what
+	// a flow takes at an upstream that is free.
+	recentFor = 2 * firstWork
 	// firstWork is the work of a request while none has been measured.
 	firstWork = 30 * time.Millisecond
 	// workShare is the weight of a new measurement, as in RFC 6298.
@@ -83,6 +88,9 @@
 	// Bounded keeps to the number of flows that an upstream works on at once,
 	// and a few on their way.
 	Bounded bool
+	// Limit bounds the flows of the whole service that were placed within the
+	// time that a flow takes; 0 does not.
+	Limit int
 	// Bulk marks flows that last longer than the upstream works for them.
 	Bulk bool
 }
@@ -225,6 +233,9 @@
 		return 0, None
 	}
 	l.measure(now)
+	if r.Limit > 0 && l.recent(now) >= r.Limit {
+		return 0, Full
+	}
 	verdict := None
 	for _, state := range []State{Open, Doubtful} {
 		p.collect(now, l, r, state)
@@ -244,10 +255,40 @@
 	return 0, verdict
 }
 
+// recent returns the number of flows placed of late at all upstreams.
+func (l *pool) recent(now time.Time) int {
+	n := 0
+	for _, u := range l.list {
+		for _, g := range u.granted {
+			if now.Sub(g) < recentFor {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Slots returns the slots of the upstreams of a service that may be used and
+// the number of their data centres.
+func (p *Placer) Slots(service string) (slots, dataCentres int) {
+	l := p.pools[service]
+	if l == nil {
+		return 0, 0
+	}
+	seen := make(map[string]bool)
+	for _, u := range l.list {
+		if u.state != Closed {
+			slots += max(u.info.Slots, 1)
+			seen[u.info.DataCentre] = true
+		}
+	}
+	return slots, len(seen)
+}
+
 // full tells whether the upstream has as many flows as it can work on, and
 // those on their way. Flows that stay open between requests say nothing.
 func (u *upstream) full(now time.Time, l *pool, bulk bool) bool {
-	u.expire(now)
+	u.expire(now, l)
 	slots := max(u.info.Slots, 1)
 	if bulk {
 		slots *= bulkFactor
@@ -314,7 +355,7 @@
 
 // cost returns the time to the answer of one more flow.
 func (u *upstream) cost(now time.Time, l *pool) time.Duration {
-	u.expire(now)
+	u.expire(now, l)
 	work := l.usual
 	if w := u.workAt(now); w > slowFactor*work {
 		work = w
@@ -337,9 +378,9 @@
 	return u.work >> min(idle/refresh, 16)
 }
 
-func (u *upstream) expire(now time.Time) {
+func (u *upstream) expire(now time.Time, l *pool) {
 	n := 0
-	for n < len(u.granted) && now.Sub(u.granted[n]) > outstandingFor {
+	for n < len(u.granted) && now.Sub(u.granted[n]) > outstandingFactor*l.usual {
 		n++
 	}
 	u.granted = slices.Delete(u.granted, 0, n)
@@ -469,6 +510,6 @@
 	if !ok {
 		return 0
 	}
-	u.expire(now)
+	u.expire(now, p.pools[u.info.Service])
 	return len(u.granted)
 }
--- a/internal/placer/queue.go
+++ b/internal/placer/queue.go
@@ -11,26 +11,38 @@
 	Request Request
 	// Opened is the time at which the caller opened the flow.
 	Opened time.Time
+	// Seen is the time of the caller's last packet.
+	Seen time.Time
+	// Asked is the time at which the flow was last asked for.
+	Asked time.Time
 	// Target and Deadline count from Opened.
 	Target   time.Duration
 	Deadline time.Duration
 	Priority int
+	// Alone marks a flow that is placed without the accounting instance.
+	Alone bool
 }
 
+// askedFor is the time after which a flow that is not asked for again has been
+// given up or placed by another instance: two of the intervals of asking, and
+// some for a busy processor.
+const askedFor = 250 * time.Millisecond
+
 // answerShare is the part of the target up to which a waiting flow can still
 // be answered in time: the rest is for the work and the way.
 const answerShare = 0.5
 
-// late tells whether the target can no longer be met.
-func (t *Ticket) late(now time.Time) bool {
+// Late tells whether the target can no longer be met.
+func (t *Ticket) Late(now time.Time) bool {
 	return now.Sub(t.Opened) > time.Duration(answerShare*float64(t.Target))
 }
 
 // Queue orders waiting flows while upstreams are full, as after a loss of
 // power, when the callers of a second and their retries come at once. Flows
-// that can meet their target go first, by priority, the newest first: serving
-// them in turn would make each one late. Late ones follow, by priority, those
-// with the nearest deadline first. The zero value is empty.
+// that can meet their target go first, late ones after them; both by priority,
+// the one whose caller was seen last first. In turn, each would be served when
+// its time is over (Maurer, Fail at Scale, 2015), and a caller that was not
+// seen for long may have given up. The zero value is empty.
 type Queue[K comparable] struct {
 	waiting map[K]*Ticket
 }
@@ -40,6 +52,9 @@
 	if q.waiting == nil {
 		q.waiting = make(map[K]*Ticket)
 	}
+	if held, ok := q.waiting[key]; ok && held.Seen.After(t.Seen) {
+		t.Seen = held.Seen
+	}
 	q.waiting[key] = &t
 }
 
@@ -49,35 +64,38 @@
 // Len returns the number of waiting flows.
 func (q *Queue[K]) Len() int { return len(q.waiting) }
 
-// Serve gives each waiting flow to place, in order, until place has no room
-// for one, and drops those whose deadline has passed. Place returns false when
-// the upstreams that the flow may use are full.
+// Serve gives waiting flows to place, the best first, until the upstreams that
+// it may use are full: place returns false then. Flows whose deadline has
+// passed, or that nobody asks for any more, are dropped.
 func (q *Queue[K]) Serve(now time.Time, place func(key K, t *Ticket) bool) {
-	if len(q.waiting) == 0 {
-		return
-	}
-	keys := make([]K, 0, len(q.waiting))
-	for key, t := range q.waiting {
-		if now.Sub(t.Opened) >= t.Deadline {
+	var full []reach
+	for len(q.waiting) > 0 {
+		key, best := q.best(now, full)
+		if best == nil {
+			return
+		}
+		if place(key, best) {
 			delete(q.waiting, key)
-			continue
+		} else {
+			full = append(full, best.reach())
 		}
-		keys = append(keys, key)
 	}
-	slices.SortFunc(keys, func(a, b K) int { return compare(now, q.waiting[a], q.waiting[b]) })
-	full := make(map[reach]bool)
-	for _, key := range keys {
-		t := q.waiting[key]
-		which := reach{t.Request.Service, t.Request.Group}
-		if full[which] {
-			continue
-		}
-		if !place(key, t) {
-			full[which] = true
-			continue
+}
+
+// best returns the waiting flow to place next, and drops those that are over.
+func (q *Queue[K]) best(now time.Time, full []reach) (K, *Ticket) {
+	var key K
+	var best *Ticket
+	for k, t := range q.waiting {
+		switch {
+		case now.Sub(t.Opened) >= t.Deadline || now.Sub(t.Asked) >= askedFor:
+			delete(q.waiting, k)
+		case slices.Contains(full, t.reach()):
+		case best == nil || compare(now, t, best) < 0:
+			key, best = k, t
 		}
-		delete(q.waiting, key)
 	}
+	return key, best
 }
 
 // reach names the upstreams that a flow may use.
@@ -86,14 +104,14 @@
 	group   int
 }
 
+func (t *Ticket) reach() reach { return reach{t.Request.Service, t.Request.Group} }
+
 func compare(now time.Time, a, b *Ticket) int {
-	if late := a.late(now); late != b.late(now) {
+	if late := a.Late(now); late != b.Late(now) {
 		if late {
 			return 1
 		}
 		return -1
-	} else if late {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.Opened.Add(a.Deadline).Compare(b.Opened.Add(b.Deadline)))
 	}
-	return cmp.Or(cmp.Compare(a.Priority, b.Priority), b.Opened.Compare(a.Opened))
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), b.Seen.Compare(a.Seen))
 }
