--- a/internal/edge/account.go
+++ b/internal/edge/account.go
@@ -72,7 +72,6 @@
 			return g.upstream, placer.Placed
 		}
 		delete(s.given, flow)
-		e.placer.Moved(g.upstream, 1)
 	}
 	number, verdict := e.placeAccounted(now, t)
 	switch verdict {
@@ -239,6 +238,9 @@
 	if r.Moved > 0 {
 		e.placer.Moved(r.Upstream, r.Moved)
 	}
+	if r.Answered > 0 {
+		e.placer.Answered(r.Upstream)
+	}
 	if r.Silent > 0 && e.placer.Silent(now, r.Upstream, r.Silent, p.address.String(), false) {
 		e.logSuspect(r.Upstream, p.address)
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -56,7 +56,6 @@
 	e.out = make(map[string]bool)
 	e.roster.peers = make(map[netip.AddrPort]*peer)
 	e.accounts.askers, e.accounts.given = make(map[uint64]asker), make(map[uint64]given)
-	e.openings.visible = unknownVisible
 	e.openings.flows = make(map[flowID]*opening)
 	e.openings.asks = make(map[uint32]*opening)
 	return e
--- a/internal/edge/event.go
+++ b/internal/edge/event.go
@@ -134,8 +134,10 @@
 	Moved int
 	// Taken counts flows that the sender placed without asking.
 	Taken int
-	// Silent counts openings that only another upstream answered.
-	Silent int
+	// Answered counts openings that the upstream answered, Silent those that
+	// only another upstream did.
+	Answered int
+	Silent   int
 }
 
 // EffectKind says what the runtime has to do.
--- a/internal/edge/opening.go
+++ b/internal/edge/opening.go
@@ -31,15 +31,9 @@
 	// to another upstream. The caller's own copy comes after 200 ms.
 	minHedge = 16 * time.Millisecond
 	maxHedge = 80 * time.Millisecond
-	// visibleShare is the share of acknowledgements that has to pass here for
-	// silence to speak against an upstream. One in four upstreams of a data
-	// centre may be dead.
-	visibleShare = 0.6
-	// visibleWeight is the number of openings over which the share is smoothed.
-	visibleWeight = 8
-	// unknownVisible is the share before the first opening: the fabric is
-	// turning to an instance that has just started.
-	unknownVisible = 0.5
+	// acknowledgedFor is the time after an acknowledgement for which silence
+	// speaks against an upstream: packets of callers pass here.
+	acknowledgedFor = 50 * time.Millisecond
 	// openingFor is the time after which a caller gives an opening up.
 	openingFor = 1400 * time.Millisecond
 	// firstCopy and secondCopy are the times after which a caller repeats its
@@ -51,7 +45,7 @@
 	// the caller its token by then.
 	pinnedFor = 15 * time.Second
 	// reportInterval is the time that outcomes wait for a message to ride with.
-	reportInterval = 10 * time.Millisecond
+	reportInterval = 5 * time.Millisecond
 )
 
 // flowID names a flow: its caller and its public address.
@@ -116,9 +110,8 @@
 	// acknowledgement (Jacobson 1988).
 	acknowledgement time.Duration
 	deviation       time.Duration
-	// visible is the smoothed share of openings to upstreams of the own data
-	// centre whose acknowledgement passed here.
-	visible float64
+	// acknowledgedAt is the time of the last acknowledgement.
+	acknowledgedAt time.Time
 	// reports wait to be sent to the accounting instances.
 	reports []report
 	flushAt time.Time
@@ -330,7 +323,7 @@
 // offer sends an opening to an upstream.
 func (e *Edge) offer(now time.Time, o *opening, number uint64) {
 	u := e.upstreams.byNumber[number]
-	o.phase, o.offered, o.due = offered, now, now.Add(e.openings.hedgeAfter())
+	o.phase, o.offered, o.due = offered, now, now.Add(e.openings.hedgeAfter()<<len(o.tries))
 	o.tries = append(o.tries, number)
 	if len(o.tries) > 1 {
 		e.counts.Hedged++
@@ -340,28 +333,20 @@
 	e.wakeAt(o.due)
 }
 
-// silent goes on after an opening was not acknowledged in time. While the
-// fabric spreads flows anew, acknowledgements pass through other instances: a
-// further upstream would only be loaded in vain.
+// silent goes on after an opening was not acknowledged in time. Just after the
+// start the fabric spreads flows anew, and acknowledgements pass through other
+// instances: a further upstream would only be loaded in vain.
 func (e *Edge) silent(now time.Time, o *opening) {
 	last := o.tries[len(o.tries)-1]
-	if len(o.tries) == 1 {
-		e.see(last, 0)
+	if now.Sub(e.openings.acknowledgedAt) < acknowledgedFor && e.placer.Unanswered(now, last, e.config.Self.String()) {
+		e.logSuspect(last, e.config.Self)
 	}
-	if e.openings.visible >= visibleShare && !e.starting(now) {
-		e.hedge(now, o)
+	if e.starting(now) {
+		o.due = o.opened.Add(openingFor)
+		e.wakeAt(o.due)
 		return
 	}
-	o.due = o.opened.Add(openingFor)
-	e.wakeAt(o.due)
-}
-
-// see takes in whether an acknowledgement passed here. Only upstreams of the
-// own data centre count: others may be cut off.
-func (e *Edge) see(number uint64, share float64) {
-	if u, ok := e.upstreams.byNumber[number]; ok && u.info.DataCentre == e.config.DataCentre {
-		e.openings.visible += (share - e.openings.visible) / visibleWeight
-	}
+	e.hedge(now, o)
 }
 
 // hedge sends an opening that stays silent to one more upstream.
@@ -421,10 +406,11 @@
 // was offered to several is kept to that one, whatever token follows.
 func (e *Edge) acknowledged(now time.Time, o *opening, number uint64) {
 	e.counts.Opened++
+	e.openings.acknowledgedAt = now
 	e.placer.Answered(number)
+	e.report(now, o.route.Service, Report{Upstream: number, Answered: 1})
 	e.cancelAsk(o)
 	if len(o.tries) == 1 {
-		e.see(number, 1)
 		e.openings.measure(now.Sub(o.offered))
 		delete(e.openings.flows, o.id)
 		return
@@ -434,12 +420,6 @@
 			e.unanswered(now, o.route.Service, t)
 		}
 	}
-	if last := o.tries[len(o.tries)-1]; last != number {
-		e.placer.Moved(last, 1)
-		e.placer.Count(now, number)
-		e.report(now, o.route.Service, Report{Upstream: last, Moved: 1})
-		e.report(now, o.route.Service, Report{Upstream: number, Taken: 1})
-	}
 	o.phase, o.chosen, o.due = opened, number, now.Add(pinnedFor)
 }
 
@@ -452,10 +432,12 @@
 // unanswered notes that an upstream did not answer an opening that another one
 // answered.
 func (e *Edge) unanswered(now time.Time, service string, number uint64) {
+	e.accounts.freed = true
+	e.placer.Moved(number, 1)
 	if e.placer.Silent(now, number, 1, e.config.Self.String(), true) {
 		e.logSuspect(number, e.config.Self)
 	}
-	e.report(now, service, Report{Upstream: number, Silent: 1})
+	e.report(now, service, Report{Upstream: number, Moved: 1, Silent: 1})
 }
 
 func (e *Edge) logSuspect(number uint64, reporter netip.AddrPort) {
@@ -482,7 +464,7 @@
 	for i := range s.reports {
 		if q := &s.reports[i].report; s.reports[i].to == a && q.Upstream == r.Upstream {
 			q.Finished, q.Moved = q.Finished+r.Finished, q.Moved+r.Moved
-			q.Taken, q.Silent = q.Taken+r.Taken, q.Silent+r.Silent
+			q.Taken, q.Answered, q.Silent = q.Taken+r.Taken, q.Answered+r.Answered, q.Silent+r.Silent
 			return
 		}
 	}
@@ -565,10 +547,6 @@
 	e.counts.Abandoned++
 	delete(e.openings.flows, o.id)
 	e.cancelAsk(o)
-	if n := len(o.tries); n > 0 && o.phase == offered {
-		e.placer.Moved(o.tries[n-1], 1)
-		e.report(now, o.route.Service, Report{Upstream: o.tries[n-1], Moved: 1})
-	}
 	e.flowLog("abandoned", o.id, "tries", strconv.Itoa(len(o.tries)), "phase", strconv.Itoa(int(o.phase)))
 }
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -40,6 +40,10 @@
 	// silentToSuspect is the number of unanswered openings in a row, each
 	// answered by another upstream, that make an upstream suspect.
 	silentToSuspect = 2
+	// unansweredToSuspect is the number of openings in a row without an
+	// acknowledgement in time that make an upstream suspect; one in a hundred
+	// is late or takes another way.
+	unansweredToSuspect = 3
 	// suspectFor and maxSuspectFor bound the time that a suspect gets
 	// nothing; it doubles while trials stay unanswered. The shorter one is the
 	// time in which a crashed upstream is replaced or a cut ends at best.
@@ -48,6 +52,10 @@
 	// trialWait is the time after which a test without outcome is repeated: a
 	// caller has sent its opening twice by then.
 	trialWait = 500 * time.Millisecond
+	// boundFactor times the slots and one are the flows given to an upstream:
+	// a slot is busy for half of the time from grant to report, and one more
+	// keeps it busy when work ends early.
+	boundFactor = 2
 	// bulkFactor is the number of bulk flows that share a slot: the transfer
 	// of an answer takes several times the work.
 	bulkFactor = 8
@@ -127,6 +135,8 @@
 	work       time.Duration
 	used       time.Time
 	suspicion  suspicion
+	// unanswered counts the openings in a row that were not acknowledged.
+	unanswered int
 }
 
 // suspicion is the evidence that an upstream does not answer.
@@ -293,7 +303,7 @@
 	if bulk {
 		slots *= bulkFactor
 	}
-	return l.usual < longFlows && len(u.granted) >= slots+max(1, slots/2)
+	return l.usual < longFlows && len(u.granted) >= boundFactor*slots+1
 }
 
 // Count counts a flow that another instance placed.
@@ -439,10 +449,12 @@
 	if !ok {
 		return
 	}
-	u.suspicion = suspicion{}
+	// A caller that gives up ends its flow as well: this says nothing of life.
+	usual := p.pools[u.info.Service].usual
 	for range min(flows, len(u.granted)) {
-		work := now.Sub(u.granted[0])
-		u.granted = slices.Delete(u.granted, 0, 1)
+		n := u.likely(now, usual)
+		work := min(now.Sub(u.granted[n]), outstandingFactor*usual)
+		u.granted = slices.Delete(u.granted, n, n+1)
 		if u.work == 0 {
 			u.work = work
 		}
@@ -450,6 +462,18 @@
 	}
 }
 
+// likely returns the flow whose age is closest to the usual length: the end of
+// another one may have passed elsewhere, and the oldest would stand for it.
+func (u *upstream) likely(now time.Time, usual time.Duration) int {
+	best := 0
+	for n, g := range u.granted {
+		if (now.Sub(g) - usual).Abs() < (now.Sub(u.granted[best]) - usual).Abs() {
+			best = n
+		}
+	}
+	return best
+}
+
 // Moved counts flows that another upstream answered.
 func (p *Placer) Moved(number uint64, flows int) {
 	if u, ok := p.upstreams[number]; ok {
@@ -460,7 +484,7 @@
 // Answered notes that the upstream answered an opening.
 func (p *Placer) Answered(number uint64) {
 	if u, ok := p.upstreams[number]; ok {
-		u.suspicion = suspicion{}
+		u.suspicion, u.unanswered = suspicion{}, 0
 	}
 }
 
@@ -489,6 +513,20 @@
 	return true
 }
 
+// Unanswered notes an opening that was not acknowledged in time, and returns
+// true when the upstream has become suspect by a row of them.
+func (p *Placer) Unanswered(now time.Time, number uint64, reporter string) bool {
+	u, ok := p.upstreams[number]
+	if !ok {
+		return false
+	}
+	if u.unanswered++; u.unanswered < unansweredToSuspect || !u.suspicion.allows(now) {
+		return false
+	}
+	u.unanswered = 0
+	return p.Silent(now, number, silentToSuspect, reporter, true)
+}
+
 // Suspect tells whether the upstream gets nothing for lack of answers.
 func (p *Placer) Suspect(now time.Time, number uint64) bool {
 	u, ok := p.upstreams[number]
