--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -60,7 +60,6 @@
 		&demoCommand{output: o},
 		&dumpCommand{output: o},
 		&explainCommand{output: o},
-		&platformCommand{output: o},
 		&serveCommand{output: o},
 		&versionCommand{output: o, version: version},
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -59,6 +59,9 @@
 	// bulkFactor is the number of bulk flows that share a slot: the transfer
 	// of an answer takes several times the work.
 	bulkFactor = 8
+	// probeGain is the growth of the pace while flows end as fast as they are
+	// placed, that of BBR's probing (Cardwell et al. 2016).
+	probeGain = 1.25
 	// longFlows is the usual length from which flows are taken to stay open
 	// between requests: several times the longest work.
 	longFlows = 500 * time.Millisecond
@@ -97,7 +100,8 @@
 	// and a few on their way.
 	Bounded bool
 	// Limit bounds the flows of the whole service that were placed within the
-	// time that a flow takes; 0 does not.
+	// time that a flow takes, where no more than that ended in this time;
+	// 0 does not.
 	Limit int
 	// Bulk marks flows that last longer than the upstream works for them.
 	Bulk bool
@@ -119,6 +123,8 @@
 type pool struct {
 	list []*upstream
 	cold float64
+	// ends are the times of the flows that ended of late.
+	ends []time.Time
 	// usual is the median work of the upstreams, as of measured.
 	usual    time.Duration
 	measured time.Time
@@ -243,7 +249,7 @@
 		return 0, None
 	}
 	l.measure(now)
-	if r.Limit > 0 && l.recent(now) >= r.Limit {
+	if r.Limit > 0 && l.recent(now) >= max(r.Limit, 1+int(probeGain*float64(l.ended(now)))) {
 		return 0, Full
 	}
 	verdict := None
@@ -278,6 +284,16 @@
 	return n
 }
 
+// ended returns the number of flows that ended of late.
+func (l *pool) ended(now time.Time) int {
+	n := 0
+	for n < len(l.ends) && now.Sub(l.ends[n]) >= recentFor {
+		n++
+	}
+	l.ends = slices.Delete(l.ends, 0, n)
+	return len(l.ends)
+}
+
 // Slots returns the slots of the upstreams of a service that may be used and
 // the number of their data centres.
 func (p *Placer) Slots(service string) (slots, dataCentres int) {
@@ -450,7 +466,12 @@
 		return
 	}
 	// A caller that gives up ends its flow as well: this says nothing of life.
-	usual := p.pools[u.info.Service].usual
+	l := p.pools[u.info.Service]
+	l.ended(now)
+	for range flows {
+		l.ends = append(l.ends, now)
+	}
+	usual := l.usual
 	for range min(flows, len(u.granted)) {
 		n := u.likely(now, usual)
 		work := min(now.Sub(u.granted[n]), outstandingFactor*usual)
