--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,128 @@
+package catalog
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+)
+
+func at(s float64) time.Time { return time.Unix(0, 0).Add(time.Duration(s * float64(time.Second))) }
+
+func upstream(key string, revision Revision, number uint64) Item {
+	return Item{Key: PrefixUpstream + key, Revision: revision, Upstream: &Upstream{Number: number}}
+}
+
+func keysOf(items []Item) []string {
+	var keys []string
+	for _, i := range items {
+		keys = append(keys, fmt.Sprintf("%s@%d", i.Key, i.Revision))
+	}
+	return keys
+}
+
+func TestOlderItemNeverReplacesANewerOne(t *testing.T) {
+	var c Catalog
+	c.Apply(at(0), Batch{Whole: true, Through: 9, Items: []Item{upstream("a", 9, 2)}})
+	changed, connected := c.Apply(at(1), Batch{Since: 0, Through: 5, Items: []Item{upstream("a", 5, 1)}})
+	if len(changed) != 0 || !connected {
+		t.Errorf("changed %v, connected %t", keysOf(changed), connected)
+	}
+	i, _ := c.Get(PrefixUpstream + "a")
+	if i.Upstream.Number != 2 || c.Through() != 9 {
+		t.Errorf("number %d through %d, want 2 through 9", i.Upstream.Number, c.Through())
+	}
+}
+
+func TestWholeCopyDeletesWhatItDoesNotName(t *testing.T) {
+	var c Catalog
+	c.Apply(at(0), Batch{Whole: true, Through: 3, Items: []Item{upstream("a", 1, 1), upstream("b", 2, 2)}})
+	// An item that is newer than the copy stays.
+	c.Apply(at(0), Batch{Since: 3, Through: 8, Items: []Item{upstream("c", 8, 3)}})
+	changed, _ := c.Apply(at(1), Batch{Whole: true, Through: 6, Items: []Item{upstream("b", 2, 2)}})
+	if d := cmp.Diff([]string{"upstream/a@6"}, keysOf(changed)); d != "" {
+		t.Errorf("changed (-want +got):\n%s", d)
+	}
+	if !changed[0].Deleted() {
+		t.Error("the item that is not named is not deleted")
+	}
+}
+
+func TestGapIsNoticedAndItemsAreKept(t *testing.T) {
+	var c Catalog
+	c.Apply(at(0), Batch{Whole: true, Through: 3})
+	changed, connected := c.Apply(at(0), Batch{Since: 5, Through: 6, Items: []Item{upstream("a", 6, 1)}})
+	if connected || len(changed) != 1 || c.Through() != 3 {
+		t.Errorf("connected %t, %d changed, through %d", connected, len(changed), c.Through())
+	}
+}
+
+func TestForgottenDeletionDoesNotComeBack(t *testing.T) {
+	var c Catalog
+	c.Apply(at(0), Batch{Whole: true, Through: 4, Items: []Item{upstream("a", 4, 1)}})
+	c.Apply(at(1), Batch{Since: 4, Through: 5, Items: []Item{{Key: PrefixUpstream + "a", Revision: 5}}})
+	c.Forget(at(2))
+	if changed, _ := c.Apply(at(3), Batch{Since: 3, Through: 4, Items: []Item{upstream("a", 4, 1)}}); len(changed) != 0 {
+		t.Errorf("a forgotten deletion was undone: %v", keysOf(changed))
+	}
+	if b := c.Since(4); !b.Whole {
+		t.Error("a copy since a forgotten deletion is not whole")
+	}
+	if b := c.Since(5); b.Whole || len(b.Items) != 0 {
+		t.Errorf("a copy since the newest revision has %d items, whole %t", len(b.Items), b.Whole)
+	}
+}
+
+// Catalogs that exchange what they have in any order end up equal.
+func TestCatalogsConvergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var store []Item
+		catalogs := make([]Catalog, 3)
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			n := rapid.IntRange(0, len(catalogs)-1).Draw(t, "catalog")
+			c := &catalogs[n]
+			switch rapid.IntRange(0, 2).Draw(t, "action") {
+			case 0:
+				i := Item{Key: PrefixUpstream + rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), Revision: Revision(len(store) + 1)}
+				if rapid.Bool().Draw(t, "alive") {
+					i.Upstream = &Upstream{Number: uint64(i.Revision)}
+				}
+				store = append(store, i)
+			case 1:
+				b := Batch{Since: c.Through(), Through: Revision(len(store))}
+				b.Items = append(b.Items, store[min(int(b.Since), len(store)):]...)
+				c.Apply(at(float64(step)), b)
+			case 2:
+				other := &catalogs[rapid.IntRange(0, len(catalogs)-1).Draw(t, "other")]
+				if other != c {
+					c.Apply(at(float64(step)), other.Since(c.Through()))
+				}
+			}
+		}
+		for n := range catalogs {
+			c := &catalogs[n]
+			c.Apply(at(99), Batch{Since: c.Through(), Through: Revision(len(store)), Items: store[min(int(c.Through()), len(store)):]})
+			for _, i := range newest(store) {
+				held, ok := c.Get(i.Key)
+				if !ok && i.Deleted() {
+					continue
+				}
+				if d := cmp.Diff(i, held, cmpopts.EquateComparable(netip.AddrPort{})); d != "" {
+					t.Fatalf("catalog %d (-store +catalog):\n%s", n, d)
+				}
+			}
+		}
+	})
+}
+
+func newest(store []Item) map[string]Item {
+	m := make(map[string]Item)
+	for _, i := range store {
+		m[i.Key] = i
+	}
+	return m
+}
--- /dev/null
+++ b/internal/catalog/main_test.go
@@ -0,0 +1,15 @@
+package catalog
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the property tests; -rapid.seed changes it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,307 @@
+package edge
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/chervilhaven/chervilhaven/internal/catalog"
+	"github.com/chervilhaven/chervilhaven/pkg/flow"
+)
+
+func TestCalmLoadIsAnsweredInTime(t *testing.T) {
+	w := site(t, 1)
+	list := w.load(150, 5*time.Second)
+	w.run(7 * time.Second)
+	if share := within(*list, 150*time.Millisecond); share < 0.995 {
+		t.Errorf("%.4f answered within 150 ms, want 0.995", share)
+	}
+}
+
+// Packets of an established flow need no state: any instance forwards them, also
+// after all have started anew.
+func TestEstablishedFlowOutlivesAllInstances(t *testing.T) {
+	w := site(t, 2)
+	for _, u := range w.upstreams {
+		u.work = 3 * time.Second
+	}
+	c := w.call(deskRoute, w.nodes[0])
+	w.run(500 * time.Millisecond)
+	if c.openedAt == 0 {
+		t.Fatal("the flow did not open")
+	}
+	for _, n := range w.nodes {
+		n.kill()
+	}
+	w.startAll()
+	w.run(time.Second)
+	before := w.nodes[4].edge.Counts().Forwarded
+	c.through = w.nodes[4]
+	c.send(&Packet{Role: flow.Data})
+	w.run(100 * time.Millisecond)
+	if n := w.nodes[4].edge.Counts().Forwarded; n != before+1 {
+		t.Errorf("%d packets forwarded by the new instance, want 1", n-before)
+	}
+	if strange := w.upstreams[c.openedAt].strange; strange != 0 {
+		t.Errorf("%d packets reached another upstream", strange)
+	}
+}
+
+func TestSilentOpeningGoesToAnotherUpstream(t *testing.T) {
+	w := site(t, 3)
+	dead := 0
+	for _, u := range w.upstreams {
+		if dead++; dead <= 3 {
+			u.alive = false
+		}
+	}
+	list := w.load(100, 4*time.Second)
+	w.run(6 * time.Second)
+	if share := within(*list, 150*time.Millisecond); share < 0.97 {
+		t.Errorf("%.4f answered within 150 ms with 3 of 10 upstreams dead, want 0.97", share)
+	}
+}
+
+// A flow that was offered to two upstreams stays with the one that its caller
+// acknowledged, whatever token the late answer of the other one brought.
+func TestHedgedFlowStaysWithItsUpstream(t *testing.T) {
+	w := site(t, 4)
+	n := w.nodes[0]
+	c := w.call(deskRoute, n)
+	w.run(toCaller + 4*toPeer)
+	o := n.edge.openings.flows[flowID{c.source, c.destination}]
+	if o == nil || len(o.tries) != 1 {
+		t.Fatal("the flow was not offered")
+	}
+	o.due = w.now
+	n.apply(&Tick{})
+	w.run(10 * time.Millisecond)
+	if len(o.tries) < 2 {
+		t.Fatal("the flow was not hedged")
+	}
+	other := o.tries[0]
+	if other == c.openedAt {
+		other = o.tries[1]
+	}
+	c.token = n.edge.upstreams.byNumber[other].token
+	c.send(&Packet{Role: flow.Data})
+	w.run(10 * time.Millisecond)
+	if strange := w.upstreams[other].strange; strange != 0 {
+		t.Errorf("%d packets went to the upstream that the caller did not open", strange)
+	}
+}
+
+func TestOpeningsWaitForTheFirstConfiguration(t *testing.T) {
+	w := newWorld(t, 5)
+	w.addNodes("a", 1)
+	w.store.down = true
+	w.startAll()
+	w.run(100 * time.Millisecond)
+	c := w.call(deskRoute, w.nodes[0])
+	w.run(50 * time.Millisecond)
+	w.store.down = false
+	w.configure(1)
+	w.addServers("desk", "a", 1, 10*time.Millisecond)
+	w.run(3 * time.Second)
+	if c.refused || c.done.IsZero() {
+		t.Errorf("refused %t, done %s", c.refused, c.done)
+	}
+}
+
+func TestUnknownRouteIsRefusedByTheInformedOnly(t *testing.T) {
+	w := site(t, 6)
+	c := w.call(netip.MustParseAddrPort("198.18.0.9:1"), w.nodes[0])
+	w.run(100 * time.Millisecond)
+	if !c.refused {
+		t.Error("a flow without a route was not refused at once")
+	}
+	w.store.down = true
+	w.run(5 * time.Second)
+	c = w.call(netip.MustParseAddrPort("198.18.0.9:1"), w.nodes[0])
+	w.run(100 * time.Millisecond)
+	if c.refused {
+		t.Error("refused although the route may have been added meanwhile")
+	}
+}
+
+func TestFlowWithoutAnyUpstreamIsRefusedAtOnce(t *testing.T) {
+	w := site(t, 7)
+	w.configure(2, catalog.Route{Address: ledgerRoute, Service: "ledger"})
+	w.run(200 * time.Millisecond)
+	c := w.call(ledgerRoute, w.nodes[0])
+	w.run(50 * time.Millisecond)
+	if !c.refused {
+		t.Error("a flow that cannot be served was held")
+	}
+}
+
+func openedSince(u *server, at time.Time) int {
+	return len(u.opens) - slices.IndexFunc(append(slices.Clone(u.opens), at.Add(time.Hour)), func(o time.Time) bool { return o.After(at) })
+}
+
+func anyServer(w *world) *server {
+	var best *server
+	for _, u := range w.upstreams {
+		if best == nil || u.info.Number < best.info.Number {
+			best = u
+		}
+	}
+	return best
+}
+
+func TestDrainingUpstreamGetsNoNewFlows(t *testing.T) {
+	w := site(t, 8)
+	u := anyServer(w)
+	list := w.load(150, 6*time.Second)
+	w.run(2 * time.Second)
+	u.info.Draining = true
+	w.publish(u)
+	acknowledged := w.now
+	w.run(6 * time.Second)
+	if n := openedSince(u, acknowledged.Add(500*time.Millisecond)); n != 0 {
+		t.Errorf("%d flows half a second after the drain", n)
+	}
+	if share := within(*list, 150*time.Millisecond); share < 0.99 {
+		t.Errorf("%.4f answered within 150 ms", share)
+	}
+}
+
+func TestDataCentreThatIsOutGetsNoNewFlows(t *testing.T) {
+	w := site(t, 9)
+	w.load(150, 6*time.Second)
+	w.run(2 * time.Second)
+	w.put(catalog.Item{Key: catalog.PrefixOut + "a", Out: true})
+	acknowledged := w.now
+	w.run(4 * time.Second)
+	for _, u := range w.upstreams {
+		if n := openedSince(u, acknowledged.Add(500*time.Millisecond)); u.info.DataCentre == "a" && n != 0 {
+			t.Errorf("%d flows to %s half a second after it was taken out", n, u.key)
+		}
+	}
+}
+
+// Entries that lapsed while the store was away come back 2 s after its return:
+// until then their upstreams serve, and afterwards they are gone.
+func TestVanishedUpstreamsServeForAWhileOnly(t *testing.T) {
+	w := site(t, 10)
+	list := w.load(150, 6*time.Second)
+	w.run(time.Second)
+	for _, u := range w.upstreams {
+		w.withdraw(u)
+	}
+	w.run(2 * time.Second)
+	back := 0
+	var gone *server
+	for _, u := range w.upstreams {
+		if back++; back > 1 {
+			w.publish(u)
+		} else {
+			gone = u
+		}
+	}
+	w.run(500 * time.Millisecond)
+	certain := w.now
+	w.run(4 * time.Second)
+	if share := within(*list, 150*time.Millisecond); share < 0.99 {
+		t.Errorf("%.4f answered within 150 ms while all entries had lapsed, want 0.99", share)
+	}
+	if n := openedSince(gone, certain); n != 0 {
+		t.Errorf("%d flows to the one that did not come back", n)
+	}
+}
+
+// The openings that a cold upstream gets are summed over all instances, also
+// while a partition gives two of them the account.
+func TestColdUpstreamIsNotFlooded(t *testing.T) {
+	for name, cut := range map[string]func(a, b *node) bool{
+		"together":  nil,
+		"partition": func(a, b *node) bool { return a.dc != b.dc },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := site(t, 11)
+			w.cut = cut
+			w.load(300, 8*time.Second)
+			w.run(3 * time.Second)
+			u := w.addServers("desk", "a", 1, 60*time.Millisecond)[0]
+			u.info.ColdFor = 3 * time.Second
+			w.publish(u)
+			w.run(3 * time.Second)
+			for i, first := range u.opens {
+				n := 0
+				for _, o := range u.opens[i:] {
+					if o.Sub(first) < time.Second {
+						n++
+					}
+				}
+				// 20 a second, times 1.5, and 5: the bound of the users' rules.
+				if n > 35 {
+					t.Fatalf("%d openings within a second at a cold upstream, bound 35", n)
+				}
+			}
+		})
+	}
+}
+
+func TestStoppingInstanceIsNotReadyAndServesOn(t *testing.T) {
+	w := site(t, 12)
+	n := w.nodes[0]
+	n.apply(&Stopping{})
+	if n.edge.Ready() {
+		t.Error("a stopping instance is ready")
+	}
+	c := w.call(deskRoute, n)
+	w.run(time.Second)
+	if c.done.IsZero() {
+		t.Error("a flow through a stopping instance was not served")
+	}
+}
+
+func TestTokenOfAGoneUpstreamIsRememberedForALifetime(t *testing.T) {
+	w := site(t, 13)
+	u := anyServer(w)
+	w.withdraw(u)
+	w.run(30 * time.Second)
+	n := w.nodes[0]
+	if _, ok := n.edge.upstreams.byNumber[u.info.Number]; !ok {
+		t.Error("the token was forgotten within the lifetime of a flow")
+	}
+	w.run(45 * time.Second)
+	if _, ok := n.edge.upstreams.byNumber[u.info.Number]; ok {
+		t.Error("the token is remembered after the lifetime of a flow")
+	}
+}
+
+// Of two upstreams with one token the later one takes no flows.
+func TestClashOfTokensIsFound(t *testing.T) {
+	var tb table
+	first := tb.update("i-1", catalog.Upstream{Number: 1})
+	delete(tb.byToken, first.token)
+	second := &upstream{info: catalog.Upstream{Number: 2}}
+	tb.byToken[first.token] = second
+	tb.byNumber = map[uint64]*upstream{2: second}
+	if u := tb.update("i-1", catalog.Upstream{Number: 1}); !u.clash {
+		t.Error("the clash was not found")
+	}
+	e := New(Config{})
+	if s := e.stateOf(&upstream{clash: true}); s != 0 {
+		t.Errorf("state %d of an upstream whose token names another one", s)
+	}
+}
+
+func TestPauseOfTheProcessLosesNoPeers(t *testing.T) {
+	w := site(t, 14)
+	n := w.nodes[0]
+	before := len(n.edge.roster.peers)
+	w.now = w.now.Add(5 * time.Second)
+	n.apply(&Woke{Gap: 5 * time.Second})
+	live := 0
+	for _, p := range n.edge.roster.peers {
+		if n.edge.roster.live(w.now, p) {
+			live++
+		}
+	}
+	if live != before {
+		t.Errorf("%d of %d peers live after a pause", live, before)
+	}
+}
--- /dev/null
+++ b/internal/edge/load_test.go
@@ -0,0 +1,166 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/chervilhaven/chervilhaven/internal/catalog"
+)
+
+// aim is the time to an answer that the tests' class declares.
+const aim = 150 * time.Millisecond
+
+// begunBetween returns the flows that began between two times.
+func begunBetween(list []*caller, from, to time.Time) []*caller {
+	var out []*caller
+	for _, c := range list {
+		if !c.begun.Before(from) && c.begun.Before(to) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// All instances lose power for a second at half the capacity of the upstreams.
+// The callers of that second come back together with new ones; new ones have to
+// be answered in time nevertheless: 0.95 in aim is the stated target for the
+// window after the return.
+func TestLoadAfterALossOfPower(t *testing.T) {
+	for seed := range uint64(3) {
+		w := site(t, 20+seed)
+		list := w.load(330, 6*time.Second)
+		w.run(2 * time.Second)
+		for _, n := range w.nodes {
+			n.kill()
+		}
+		w.run(time.Second)
+		back := w.now
+		for i, n := range w.nodes {
+			// The seeds come back last.
+			late := time.Duration(0)
+			if i < 3 {
+				late = 300 * time.Millisecond
+			}
+			w.after(late+time.Duration(w.random.IntN(20))*time.Millisecond, n.start)
+		}
+		w.run(5 * time.Second)
+		after := begunBetween(*list, back.Add(50*time.Millisecond), back.Add(2*time.Second))
+		if share := within(after, aim); share < 0.95 {
+			t.Errorf("seed %d: %.3f of %d flows after the return answered within %s, want 0.95", seed, share, len(after), aim)
+		}
+	}
+}
+
+// At 85% of the capacity, flows that are placed by chance wait where slots are
+// free elsewhere.
+func TestHeavyLoadIsPlacedWhereSlotsAreFree(t *testing.T) {
+	play := func(chance bool) float64 {
+		w := site(t, 30)
+		list := w.load(560, 6*time.Second)
+		if chance {
+			for _, n := range w.nodes {
+				n.choose = func(upstreams []uint64) uint64 { return upstreams[w.random.IntN(len(upstreams))] }
+			}
+		}
+		w.run(8 * time.Second)
+		return within(*list, aim)
+	}
+	placed, chance := play(false), play(true)
+	t.Logf("within %s: %.4f placed, %.4f by chance", aim, placed, chance)
+	if placed < 0.95 {
+		t.Errorf("%.4f answered within %s at 85%% of the capacity, want 0.95", placed, aim)
+	}
+	if placed <= chance {
+		t.Errorf("%.4f placed, %.4f by chance", placed, chance)
+	}
+}
+
+// Three of ten upstreams die at once while the store is silent.
+func TestCrashOfUpstreamsWhileTheStoreIsSilent(t *testing.T) {
+	w := site(t, 40)
+	list := w.load(300, 6*time.Second)
+	w.run(2 * time.Second)
+	w.store.down = true
+	dead := 0
+	for _, u := range w.upstreams {
+		if dead++; dead <= 3 {
+			u.alive = false
+		}
+	}
+	crash := w.now
+	w.run(6 * time.Second)
+	after := begunBetween(*list, crash.Add(100*time.Millisecond), crash.Add(4*time.Second))
+	if share := within(after, aim); share < 0.95 {
+		t.Errorf("%.4f answered within %s after the crash, want 0.95", share, aim)
+	}
+}
+
+// A data centre is cut off: its instances and callers go on with its own
+// upstreams.
+func TestLoadInADataCentreThatIsCutOff(t *testing.T) {
+	w := site(t, 50)
+	list := w.load(200, 6*time.Second)
+	w.run(2 * time.Second)
+	w.cut = func(a, b *node) bool { return a.dc != b.dc }
+	w.unreachable = func(n *node, u *server) bool { return n.dc != u.info.DataCentre }
+	cut := w.now
+	w.run(6 * time.Second)
+	after := begunBetween(*list, cut.Add(500*time.Millisecond), cut.Add(4*time.Second))
+	if share := within(after, aim); share < 0.95 {
+		t.Errorf("%.4f answered within %s in the cut, want 0.95", share, aim)
+	}
+}
+
+// A slow upstream is avoided, and used again once it has recovered.
+func TestSlowUpstreamIsAvoidedAndReturns(t *testing.T) {
+	w := site(t, 60)
+	list := w.load(250, 10*time.Second)
+	u := anyServer(w)
+	w.run(time.Second)
+	u.work = 200 * time.Millisecond
+	slow := w.now
+	w.run(4 * time.Second)
+	u.work = 30 * time.Millisecond
+	recovered := w.now
+	w.run(7 * time.Second)
+	if share := within(begunBetween(*list, slow, recovered), aim); share < 0.95 {
+		t.Errorf("%.4f answered within %s beside a slow upstream, want 0.95", share, aim)
+	}
+	if n := openedSince(u, recovered.Add(2*time.Second)); n < 20 {
+		t.Errorf("%d flows in 3 s to the upstream that has recovered", n)
+	}
+}
+
+// Instances that restart one after the other do not disturb the load.
+func TestRestartsInTurnUnderLoad(t *testing.T) {
+	w := site(t, 70)
+	list := w.load(300, 8*time.Second)
+	for i, n := range w.nodes {
+		w.after(time.Duration(i+1)*time.Second, func() { n.apply(&Stopping{}) })
+		w.after(time.Duration(i+1)*time.Second+600*time.Millisecond, func() { n.kill(); n.start() })
+	}
+	w.run(10 * time.Second)
+	if share := within(*list, aim); share < 0.99 {
+		t.Errorf("%.4f answered within %s during restarts, want 0.99", share, aim)
+	}
+}
+
+// A new version of the configuration with many routes reaches all in time.
+func TestLargeConfigurationReachesAll(t *testing.T) {
+	w := site(t, 80)
+	var routes []catalog.Route
+	for n := range 2000 {
+		a := deskRoute.Addr()
+		for range n/200 + 1 {
+			a = a.Next()
+		}
+		routes = append(routes, catalog.Route{Address: addressWithPort(a, 1000+n), Service: "desk"})
+	}
+	w.configure(2, routes...)
+	w.run(time.Second)
+	for _, n := range w.nodes {
+		if len(n.edge.routes) != 2001 {
+			t.Errorf("%s has %d routes", n.name, len(n.edge.routes))
+		}
+	}
+}
--- a/internal/edge/news.go
+++ b/internal/edge/news.go
@@ -18,8 +18,11 @@
 	// readGrace is the time past readWait after which a read has failed: a
 	// hundred round trips.
 	readGrace = 400 * time.Millisecond
-	// wholeTimeout bounds the read of everything, which may take pages.
-	wholeTimeout = 1500 * time.Millisecond
+	// wholeTimeout bounds the first read of everything, a hundred round trips;
+	// it doubles with each failure up to maxWholeTimeout, as the store may be
+	// slow and the answer may take pages.
+	wholeTimeout    = 600 * time.Millisecond
+	maxWholeTimeout = 4 * wholeTimeout
 	// readPause spaces the reads of a reader while changes come quickly.
 	readPause = 100 * time.Millisecond
 	// readerStagger is the time by which each instance waits for a better
@@ -48,6 +51,8 @@
 	// next is the time of the next read, or of the next look whether to read.
 	next    time.Time
 	backoff time.Duration
+	// failures counts the failed reads in a row.
+	failures int
 	// whole asks for everything at the next read.
 	whole bool
 	// waiting is the time since which too few others read.
@@ -73,7 +78,7 @@
 	since := e.catalog.Through()
 	if r.whole || since == 0 {
 		r.reading = true
-		e.emit(Effect{Kind: Read, Timeout: wholeTimeout})
+		e.emit(Effect{Kind: Read, Timeout: min(wholeTimeout<<min(r.failures, 2), maxWholeTimeout)})
 		return
 	}
 	r.reading = true
@@ -132,7 +137,7 @@
 	if !r.reads {
 		e.log("store-read", "through", revision(v.Batch.Through), "whole", strconv.FormatBool(v.Batch.Whole))
 	}
-	r.reading, r.reads, r.backoff, r.next = false, true, 0, now
+	r.reading, r.reads, r.backoff, r.failures, r.next = false, true, 0, 0, now
 	if n := len(v.Malformed); n > 0 {
 		e.counts.Malformed += uint64(n)
 		e.log("entries-malformed", "entries", strconv.Itoa(n), "first", v.Malformed[0].Error(), "through", revision(v.Batch.Through))
@@ -171,6 +176,7 @@
 		return
 	}
 	r.reads = false
+	r.failures++
 	r.backoff = min(max(2*r.backoff, minReadBackoff), maxReadBackoff)
 	r.next = now.Add(r.backoff + time.Duration(e.random.Int64N(int64(r.backoff)/2)))
 }
--- /dev/null
+++ b/internal/edge/news_test.go
@@ -0,0 +1,194 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/chervilhaven/chervilhaven/internal/catalog"
+)
+
+// versionOf returns the configuration that an instance acts on.
+func (n *node) versionOf() uint64 {
+	i, ok := n.edge.catalog.Get(catalog.KeyConfiguration)
+	if !ok {
+		return 0
+	}
+	return i.Configuration.Version
+}
+
+func (w *world) reading() int {
+	n := 0
+	for _, x := range w.nodes {
+		if x.up && x.edge.reader.reads {
+			n++
+		}
+	}
+	return n
+}
+
+func TestFewReadTheStoreAndAllHaveTheNews(t *testing.T) {
+	w := site(t, 1)
+	if n := w.reading(); n != readers {
+		t.Errorf("%d instances read the store, want %d", n, readers)
+	}
+	for version := uint64(2); version < 12; version++ {
+		w.configure(version)
+		w.run(300 * time.Millisecond)
+		for _, n := range w.nodes {
+			if v := n.versionOf(); v != version {
+				t.Errorf("%s acts on %d, %d is published for 300 ms", n.name, v, version)
+			}
+		}
+	}
+}
+
+// An instance that the store turns away learns the configuration from others
+// within the bound of 3 s, whoever of them is turned away.
+func TestInstancesTurnedAwayHaveTheNews(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		for first := range 6 {
+			w := site(t, 2)
+			w.run(time.Second)
+			for i := range 3 {
+				n := w.nodes[(first+i)%len(w.nodes)]
+				n.turnedAway, n.silent = true, silent
+			}
+			w.run(time.Second)
+			w.configure(2)
+			w.run(2500 * time.Millisecond)
+			for _, n := range w.nodes {
+				if n.versionOf() != 2 {
+					t.Errorf("silent %t, first %d: %s acts on version %d after 2.5 s", silent, first, n.name, n.versionOf())
+				}
+			}
+		}
+	}
+}
+
+// The readers die together, and with them the news; others take over in time.
+func TestOthersReadWhenTheReadersDie(t *testing.T) {
+	w := site(t, 3)
+	for _, n := range w.nodes {
+		if n.edge.reader.reads {
+			n.kill()
+		}
+	}
+	w.configure(2)
+	w.run(2500 * time.Millisecond)
+	for _, n := range w.nodes {
+		if n.up && n.versionOf() != 2 {
+			t.Errorf("%s acts on version %d 2.5 s after the readers died", n.name, n.versionOf())
+		}
+	}
+}
+
+func TestDataCentreThatIsCutOffReadsByItself(t *testing.T) {
+	w := site(t, 4)
+	w.cut = func(a, b *node) bool { return a.dc != b.dc }
+	w.configure(2)
+	w.run(2500 * time.Millisecond)
+	for _, n := range w.nodes {
+		if n.versionOf() != 2 {
+			t.Errorf("%s acts on version %d 2.5 s after the cut", n.name, n.versionOf())
+		}
+	}
+}
+
+func TestLostHistoryIsReplacedByAWholeCopy(t *testing.T) {
+	w := site(t, 5)
+	u := anyServer(w)
+	w.store.down = true
+	w.run(3 * time.Second)
+	w.withdraw(u)
+	w.configure(2)
+	w.forget()
+	w.store.down = false
+	w.run(2 * time.Second)
+	for _, n := range w.nodes {
+		if n.versionOf() != 2 {
+			t.Errorf("%s acts on version %d", n.name, n.versionOf())
+		}
+		if i, _ := n.edge.catalog.Get(catalog.PrefixUpstream + u.key); !i.Deleted() {
+			t.Errorf("%s still holds an upstream whose deletion is not in the history", n.name)
+		}
+	}
+}
+
+// An instance that starts while the store is away has the configuration from
+// its peers.
+func TestStartWithoutTheStore(t *testing.T) {
+	w := site(t, 6)
+	w.store.down = true
+	n := w.nodes[4]
+	n.kill()
+	w.run(time.Second)
+	n.start()
+	w.run(300 * time.Millisecond)
+	if !n.edge.Ready() || n.versionOf() != 1 {
+		t.Errorf("ready %t at version %d", n.edge.Ready(), n.versionOf())
+	}
+}
+
+// A stale peer never takes an instance back.
+func TestStalePeerDoesNotTakeOthersBack(t *testing.T) {
+	w := site(t, 7)
+	stale := w.nodes[5]
+	w.cut = func(a, b *node) bool { return a == stale || b == stale }
+	stale.turnedAway = true
+	w.run(3 * time.Second)
+	w.configure(2)
+	w.run(2 * time.Second)
+	w.cut = nil
+	for range 40 {
+		w.run(50 * time.Millisecond)
+		for _, n := range w.nodes[:5] {
+			if n.versionOf() != 2 {
+				t.Fatalf("%s went back to version %d", n.name, n.versionOf())
+			}
+		}
+	}
+	if stale.versionOf() != 2 {
+		t.Errorf("the stale instance acts on version %d after the cut", stale.versionOf())
+	}
+}
+
+func TestReadsOfTheStoreAreFew(t *testing.T) {
+	w := site(t, 8)
+	before := 0
+	for _, n := range w.nodes {
+		before += n.reads
+	}
+	w.run(20 * time.Second)
+	total := -before
+	for _, n := range w.nodes {
+		total += n.reads
+	}
+	// Two readers, one read a second each, and some for changes of the reader.
+	if total > 60 {
+		t.Errorf("%d reads in 20 s", total)
+	}
+}
+
+// Seeds may be down: any instance that is known leads to all others.
+func TestFleetGrowsWithoutItsSeeds(t *testing.T) {
+	w := site(t, 9)
+	for _, n := range w.nodes[:2] {
+		n.kill()
+	}
+	w.addNodes("c", 2)
+	for _, n := range w.nodes[6:] {
+		n.start()
+	}
+	w.run(2 * time.Second)
+	for _, n := range w.nodes[2:] {
+		live := 0
+		for _, p := range n.edge.roster.peers {
+			if n.edge.roster.live(w.now, p) {
+				live++
+			}
+		}
+		if live != 5 {
+			t.Errorf("%s hears %d of 5 others", n.name, live)
+		}
+	}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
@@ -254,8 +255,8 @@
 	h.metrics.storeCalls.Inc()
 	if err != nil {
 		h.metrics.storeFailures.Inc()
-		lost, ok := err.(HistoryLost)
-		h.apply(&edge.StoreFailed{Err: err, HistoryLost: ok && lost.HistoryLost()})
+		var lost HistoryLost
+		h.apply(&edge.StoreFailed{Err: err, HistoryLost: errors.As(err, &lost) && lost.HistoryLost()})
 		return
 	}
 	h.metrics.storeTime.UpdateDuration(started)
--- /dev/null
+++ b/internal/placer/placer_test.go
@@ -0,0 +1,250 @@
+package placer
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/chervilhaven/chervilhaven/internal/catalog"
+)
+
+const desk = "desk"
+
+func at(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
+
+// newPlacer returns a placer of upstreams 1 to n with two slots each.
+func newPlacer(n int) *Placer {
+	p := &Placer{Random: rand.New(rand.NewPCG(1, 1))}
+	for i := 1; i <= n; i++ {
+		p.Set(at(0), catalog.Upstream{Number: uint64(i), Service: desk, DataCentre: "a", Slots: 2}, Open, 10)
+	}
+	return p
+}
+
+func place(t *testing.T, p *Placer, now time.Time, r Request) uint64 {
+	t.Helper()
+	r.Service = desk
+	n, v := p.Place(now, r)
+	if v != Placed {
+		t.Fatalf("verdict %d, want an upstream", v)
+	}
+	return n
+}
+
+func TestFlowsGoWhereTheyWaitLeast(t *testing.T) {
+	p := newPlacer(3)
+	seen := make(map[uint64]int)
+	for range 6 {
+		seen[place(t, p, at(0), Request{Group: Any})]++
+	}
+	if d := cmp.Diff(map[uint64]int{1: 2, 2: 2, 3: 2}, seen); d != "" {
+		t.Errorf("flows of each upstream (-want +got):\n%s", d)
+	}
+	p.Finished(at(30*time.Millisecond), 2, 2)
+	if n := place(t, p, at(30*time.Millisecond), Request{Group: Any}); n != 2 {
+		t.Errorf("the flow went to %d, 2 is idle", n)
+	}
+}
+
+func TestOwnDataCentreIsPreferredAmongEqualsOnly(t *testing.T) {
+	p := newPlacer(1)
+	p.Set(at(0), catalog.Upstream{Number: 9, Service: desk, DataCentre: "b", Slots: 2}, Open, 0)
+	if n := place(t, p, at(0), Request{Group: Any, DataCentre: "b"}); n != 9 {
+		t.Errorf("the flow went to %d of another data centre", n)
+	}
+	if n := place(t, p, at(0), Request{Group: Any, DataCentre: "b"}); n != 1 {
+		t.Errorf("the flow went to %d although the other one is idle", n)
+	}
+}
+
+func TestBoundHoldsAndEndsWithFlows(t *testing.T) {
+	p := newPlacer(2)
+	r := Request{Service: desk, Group: Any, Bounded: true}
+	placed := 0
+	for {
+		if _, v := p.Place(at(0), r); v != Placed {
+			if v != Full {
+				t.Errorf("verdict %d, want full", v)
+			}
+			break
+		}
+		if placed++; placed > 100 {
+			t.Fatal("no bound")
+		}
+	}
+	if want := 2 * (boundFactor*2 + 1); placed != want {
+		t.Errorf("%d flows placed, want %d", placed, want)
+	}
+	p.Finished(at(30*time.Millisecond), 1, 1)
+	if n, v := p.Place(at(30*time.Millisecond), r); v != Placed || n != 1 {
+		t.Errorf("upstream %d, verdict %d after an end", n, v)
+	}
+	// Flows whose end nobody saw stop counting.
+	late := at(30 * time.Millisecond).Add(outstandingFactor * firstWork * 2)
+	if n := p.Outstanding(late, 2); n != 0 {
+		t.Errorf("%d flows still count", n)
+	}
+}
+
+// The end of one flow must not stand for another one that nobody saw end:
+// lengths would grow, flows would count longer, and upstreams would starve.
+func TestLengthIsNotMeasuredByLostFlows(t *testing.T) {
+	p := newPlacer(1)
+	now := at(0)
+	for n := range 400 {
+		place(t, p, now, Request{Group: Any})
+		if n%5 != 0 { // the end of each fifth flow passes elsewhere
+			p.Finished(now.Add(30*time.Millisecond), 1, 1)
+		}
+		now = now.Add(40 * time.Millisecond)
+	}
+	p.pools[desk].measured = time.Time{}
+	p.pools[desk].measure(now)
+	if usual := p.pools[desk].usual; usual > 60*time.Millisecond {
+		t.Errorf("flows of 30 ms count as %s", usual)
+	}
+}
+
+// A dead upstream must not look idle because its flows move on.
+func TestSilentUpstreamDoesNotAttractFlows(t *testing.T) {
+	p := newPlacer(4)
+	now, dead := at(0), 0
+	for range 200 {
+		now = now.Add(5 * time.Millisecond)
+		n := place(t, p, now, Request{Group: Any})
+		if n != 1 {
+			p.Answered(n)
+			p.Finished(now.Add(20*time.Millisecond), n, 1)
+			continue
+		}
+		dead++
+		if p.Unanswered(now, 1, "self") {
+			break
+		}
+		m := place(t, p, now, Request{Group: Any, Avoid: []uint64{1}})
+		p.Silent(now, 1, 1, "self", true)
+		p.Answered(m)
+		p.Finished(now.Add(20*time.Millisecond), m, 1)
+	}
+	if dead > 8 {
+		t.Errorf("%d of 200 openings went to the dead upstream", dead)
+	}
+	if !p.Suspect(now, 1) {
+		t.Error("the dead upstream is not suspect")
+	}
+}
+
+func TestSuspectIsTestedByOneOpeningAndReturns(t *testing.T) {
+	p := newPlacer(2)
+	p.Silent(at(0), 1, 2, "self", true)
+	for range 4 {
+		if n := place(t, p, at(0), Request{Group: Any}); n == 1 {
+			t.Fatal("a suspect got a flow")
+		}
+	}
+	now := at(suspectFor)
+	tests := 0
+	for range 4 {
+		if place(t, p, now, Request{Group: Any}) == 1 {
+			tests++
+		}
+	}
+	if tests != 1 {
+		t.Errorf("%d openings test the suspect, want 1", tests)
+	}
+	p.Silent(now, 1, 1, "self", true)
+	if !p.Suspect(now.Add(suspectFor), 1) {
+		t.Error("a failed test does not double the time")
+	}
+	p.Answered(1)
+	if p.Suspect(now, 1) {
+		t.Error("an answer does not end the suspicion")
+	}
+}
+
+func TestWordOfOneOtherInstanceIsNotEnough(t *testing.T) {
+	p := newPlacer(2)
+	if p.Silent(at(0), 1, 5, "b", false) {
+		t.Error("one reporter made an upstream suspect")
+	}
+	if !p.Silent(at(0), 1, 1, "c", false) {
+		t.Error("two reporters did not")
+	}
+}
+
+// A caller that gives up ends its flow at a dead upstream too.
+func TestEndOfAFlowIsNoSignOfLife(t *testing.T) {
+	p := newPlacer(2)
+	p.Silent(at(0), 1, 2, "self", true)
+	p.Finished(at(0), 1, 1)
+	if !p.Suspect(at(0), 1) {
+		t.Error("an end of a flow cleared the suspicion")
+	}
+}
+
+func TestColdUpstreamGetsItsShareFromItsAccountantOnly(t *testing.T) {
+	p := newPlacer(0)
+	p.Set(at(0), catalog.Upstream{Number: 1, Service: desk, Slots: 2, ColdFor: 2 * time.Second}, Open, 10)
+	if _, v := p.Place(at(0), Request{Service: desk, Group: Any}); v != None {
+		t.Errorf("verdict %d: a cold upstream got a flow from somebody else", v)
+	}
+	given := 0
+	for ms := range 2000 {
+		now := at(time.Duration(ms) * time.Millisecond)
+		if _, v := p.Place(now, Request{Service: desk, Group: Any, Cold: true}); v == Placed {
+			given++
+			p.Finished(now, 1, 1)
+		}
+	}
+	// In each second the share of 10, so that two accountants stay below it.
+	if given != 10 {
+		t.Errorf("%d flows in two seconds, want 10", given)
+	}
+	if _, v := p.Place(at(2*time.Second), Request{Service: desk, Group: Any}); v != Placed {
+		t.Error("the upstream is not warm after its time")
+	}
+}
+
+func TestNewStartOfAnUpstreamClearsWhatWasKnown(t *testing.T) {
+	p := newPlacer(1)
+	place(t, p, at(0), Request{Group: Any})
+	p.Silent(at(0), 1, 2, "self", true)
+	p.Set(at(0), catalog.Upstream{Number: 1, Service: desk, Slots: 2, Started: at(0)}, Open, 10)
+	if p.Suspect(at(0), 1) || p.Outstanding(at(0), 1) != 0 {
+		t.Error("the new start inherits flows or a suspicion")
+	}
+}
+
+func TestDoubtfulUpstreamIsTheLastChoice(t *testing.T) {
+	p := newPlacer(2)
+	p.SetState(1, Doubtful)
+	for range 5 {
+		if n := place(t, p, at(0), Request{Group: Any}); n != 2 {
+			t.Fatal("a doubtful upstream was preferred")
+		}
+	}
+	p.SetState(2, Closed)
+	if n := place(t, p, at(0), Request{Group: Any}); n != 1 {
+		t.Errorf("upstream %d, want the doubtful one", n)
+	}
+}
+
+func TestGroupsAreEvenAndDisjoint(t *testing.T) {
+	p := &Placer{}
+	random := rand.New(rand.NewPCG(3, 4))
+	for range 120 {
+		p.Set(at(0), catalog.Upstream{Number: random.Uint64(), Service: desk, Slots: 2}, Open, 0)
+	}
+	groups := p.Groups(desk)
+	if groups != 4 {
+		t.Fatalf("%d groups of 120 upstreams, want 4", groups)
+	}
+	for g := range groups {
+		p.collect(at(0), p.pools[desk], Request{Service: desk, Group: g}, Open)
+		if n := len(p.choices); n < 15 || n > 45 {
+			t.Errorf("group %d has %d upstreams", g, n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/placer/queue_test.go
@@ -0,0 +1,66 @@
+package placer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func ticket(opened time.Duration, priority int) Ticket {
+	return Ticket{
+		Request: Request{Service: desk}, Opened: at(opened), Seen: at(opened), Asked: at(time.Second),
+		Target: 150 * time.Millisecond, Deadline: 1400 * time.Millisecond, Priority: priority,
+	}
+}
+
+func TestFreshFlowsGoFirstThenByPriorityThenTheNewest(t *testing.T) {
+	var q Queue[string]
+	q.Add("late", ticket(700*time.Millisecond, 0))
+	q.Add("late, seen again", func() Ticket {
+		t := ticket(400*time.Millisecond, 0)
+		t.Seen = at(990 * time.Millisecond)
+		return t
+	}())
+	q.Add("fresh", ticket(950*time.Millisecond, 2))
+	q.Add("fresher", ticket(980*time.Millisecond, 2))
+	q.Add("urgent", ticket(940*time.Millisecond, 1))
+	var order []string
+	q.Serve(at(time.Second), func(key string, _ *Ticket) bool { order = append(order, key); return true })
+	want := []string{"urgent", "fresher", "fresh", "late, seen again", "late"}
+	if d := cmp.Diff(want, order); d != "" {
+		t.Errorf("order (-want +got):\n%s", d)
+	}
+}
+
+func TestQueueStopsWhereUpstreamsAreFull(t *testing.T) {
+	var q Queue[int]
+	for n := range 10 {
+		ticket := ticket(900*time.Millisecond, 0)
+		ticket.Request.Group = n % 2
+		q.Add(n, ticket)
+	}
+	placed := 0
+	q.Serve(at(time.Second), func(_ int, t *Ticket) bool {
+		if t.Request.Group == 0 {
+			return false
+		}
+		placed++
+		return true
+	})
+	if placed != 5 || q.Len() != 5 {
+		t.Errorf("%d placed, %d wait, want 5 and 5", placed, q.Len())
+	}
+}
+
+func TestFlowsThatAreOverAreDropped(t *testing.T) {
+	var q Queue[string]
+	q.Add("deadline", ticket(-500*time.Millisecond, 0))
+	given := ticket(900*time.Millisecond, 0)
+	given.Asked = at(700 * time.Millisecond)
+	q.Add("nobody asks", given)
+	q.Serve(at(time.Second), func(key string, _ *Ticket) bool { t.Errorf("%s was placed", key); return true })
+	if q.Len() != 0 {
+		t.Errorf("%d wait", q.Len())
+	}
+}
