--- /dev/null
+++ b/internal/edge/acknowledge.go
@@ -0,0 +1,104 @@
+package edge
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/chervilhaven/chervilhaven/pkg/flow"
+)
+
+// hedgeAfter is the time in which nearly all acknowledgements come.
+func (s *openings) hedgeAfter() time.Duration {
+	if s.acknowledgement == 0 {
+		return 2 * firstAcknowledgement
+	}
+	return min(max(s.acknowledgement+4*s.deviation, minHedge), maxHedge)
+}
+
+// measure takes in one time to an acknowledgement.
+func (s *openings) measure(took time.Duration) {
+	if s.acknowledgement == 0 {
+		s.acknowledgement, s.deviation = took, took/2
+		return
+	}
+	s.deviation += ((took - s.acknowledgement).Abs() - s.deviation) / 4
+	s.acknowledgement += (took - s.acknowledgement) / 8
+}
+
+// established handles a later packet of a flow whose opening is known here.
+func (e *Edge) established(now time.Time, o *opening, p *Packet) {
+	number := o.chosen
+	if o.phase != opened {
+		u, ok := e.upstreams.byToken[p.Token]
+		if !ok || !slices.Contains(o.tries, u.info.Number) {
+			e.counts.UnknownToken++
+			e.flowLog("unknown-token", o.id, "token", hex(p.Token), "through", revision(e.catalog.Through()))
+			return
+		}
+		number = u.info.Number
+		e.acknowledged(now, o, number)
+	}
+	u, ok := e.upstreams.byNumber[number]
+	if !ok {
+		delete(e.openings.flows, o.id)
+		return
+	}
+	e.forward(u, p)
+	if p.Role == flow.Close || p.Role == flow.Reset {
+		delete(e.openings.flows, o.id)
+		e.finished(now, number)
+	}
+}
+
+// acknowledged notes which upstream the caller opened the flow at. A flow that
+// was offered to several is kept to that one, whatever token follows.
+func (e *Edge) acknowledged(now time.Time, o *opening, number uint64) {
+	e.counts.Opened++
+	e.openings.acknowledgedAt = now
+	e.placer.Answered(number)
+	e.report(now, o.route.Service, Report{Upstream: number, Answered: 1})
+	e.cancelAsk(o)
+	if len(o.tries) == 1 {
+		e.openings.measure(now.Sub(o.offered))
+		delete(e.openings.flows, o.id)
+		return
+	}
+	for _, t := range o.tries {
+		if t != number {
+			e.unanswered(now, o.route.Service, t)
+		}
+	}
+	o.phase, o.chosen, o.due = opened, number, now.Add(pinnedFor)
+}
+
+// cancelAsk ends the search for a further upstream.
+func (e *Edge) cancelAsk(o *opening) {
+	delete(e.openings.asks, o.ask)
+	e.accounts.queue.Remove(o.id.hash())
+}
+
+// unanswered notes that an upstream did not answer an opening that another one
+// answered.
+func (e *Edge) unanswered(now time.Time, service string, number uint64) {
+	e.accounts.freed = true
+	e.placer.Moved(number, 1)
+	if e.placer.Silent(now, number, 1, e.config.Self.String(), true) {
+		e.logSuspect(number, e.config.Self)
+	}
+	e.report(now, service, Report{Upstream: number, Moved: 1, Silent: 1})
+}
+
+func (e *Edge) logSuspect(number uint64, reporter netip.AddrPort) {
+	if u, ok := e.upstreams.byNumber[number]; ok {
+		e.log("upstream-suspect", "upstream", u.key, "reporter", reporter.String())
+	}
+}
+
+// finished notes the end of a flow.
+func (e *Edge) finished(now time.Time, number uint64) {
+	u := e.upstreams.byNumber[number]
+	e.accounts.freed = true
+	e.placer.Finished(now, number, 1)
+	e.report(now, u.info.Service, Report{Upstream: number, Finished: 1})
+}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -14,7 +14,7 @@
 	w := site(t, 1)
 	list := w.load(150, 5*time.Second)
 	w.run(7 * time.Second)
-	if share := within(*list, 150*time.Millisecond); share < 0.995 {
+	if share := within(*list); share < 0.995 {
 		t.Errorf("%.4f answered within 150 ms, want 0.995", share)
 	}
 }
@@ -58,7 +58,7 @@
 	}
 	list := w.load(100, 4*time.Second)
 	w.run(6 * time.Second)
-	if share := within(*list, 150*time.Millisecond); share < 0.97 {
+	if share := within(*list); share < 0.97 {
 		t.Errorf("%.4f answered within 150 ms with 3 of 10 upstreams dead, want 0.97", share)
 	}
 }
@@ -102,7 +102,7 @@
 	w.run(50 * time.Millisecond)
 	w.store.down = false
 	w.configure(1)
-	w.addServers("desk", "a", 1, 10*time.Millisecond)
+	w.addServers("a", 1, 10*time.Millisecond)
 	w.run(3 * time.Second)
 	if c.refused || c.done.IsZero() {
 		t.Errorf("refused %t, done %s", c.refused, c.done)
@@ -162,7 +162,7 @@
 	if n := openedSince(u, acknowledged.Add(500*time.Millisecond)); n != 0 {
 		t.Errorf("%d flows half a second after the drain", n)
 	}
-	if share := within(*list, 150*time.Millisecond); share < 0.99 {
+	if share := within(*list); share < 0.99 {
 		t.Errorf("%.4f answered within 150 ms", share)
 	}
 }
@@ -203,7 +203,7 @@
 	w.run(500 * time.Millisecond)
 	certain := w.now
 	w.run(4 * time.Second)
-	if share := within(*list, 150*time.Millisecond); share < 0.99 {
+	if share := within(*list); share < 0.99 {
 		t.Errorf("%.4f answered within 150 ms while all entries had lapsed, want 0.99", share)
 	}
 	if n := openedSince(gone, certain); n != 0 {
@@ -223,7 +223,7 @@
 			w.cut = cut
 			w.load(300, 8*time.Second)
 			w.run(3 * time.Second)
-			u := w.addServers("desk", "a", 1, 60*time.Millisecond)[0]
+			u := w.addServers("a", 1, 60*time.Millisecond)[0]
 			u.info.ColdFor = 3 * time.Second
 			w.publish(u)
 			w.run(3 * time.Second)
--- a/internal/edge/load_test.go
+++ b/internal/edge/load_test.go
@@ -45,7 +45,7 @@
 		}
 		w.run(5 * time.Second)
 		after := begunBetween(*list, back.Add(50*time.Millisecond), back.Add(2*time.Second))
-		if share := within(after, aim); share < 0.95 {
+		if share := within(after); share < 0.95 {
 			t.Errorf("seed %d: %.3f of %d flows after the return answered within %s, want 0.95", seed, share, len(after), aim)
 		}
 	}
@@ -63,7 +63,7 @@
 			}
 		}
 		w.run(8 * time.Second)
-		return within(*list, aim)
+		return within(*list)
 	}
 	placed, chance := play(false), play(true)
 	t.Logf("within %s: %.4f placed, %.4f by chance", aim, placed, chance)
@@ -90,7 +90,7 @@
 	crash := w.now
 	w.run(6 * time.Second)
 	after := begunBetween(*list, crash.Add(100*time.Millisecond), crash.Add(4*time.Second))
-	if share := within(after, aim); share < 0.95 {
+	if share := within(after); share < 0.95 {
 		t.Errorf("%.4f answered within %s after the crash, want 0.95", share, aim)
 	}
 }
@@ -106,7 +106,7 @@
 	cut := w.now
 	w.run(6 * time.Second)
 	after := begunBetween(*list, cut.Add(500*time.Millisecond), cut.Add(4*time.Second))
-	if share := within(after, aim); share < 0.95 {
+	if share := within(after); share < 0.95 {
 		t.Errorf("%.4f answered within %s in the cut, want 0.95", share, aim)
 	}
 }
@@ -123,7 +123,7 @@
 	u.work = 30 * time.Millisecond
 	recovered := w.now
 	w.run(7 * time.Second)
-	if share := within(begunBetween(*list, slow, recovered), aim); share < 0.95 {
+	if share := within(begunBetween(*list, slow, recovered)); share < 0.95 {
 		t.Errorf("%.4f answered within %s beside a slow upstream, want 0.95", share, aim)
 	}
 	if n := openedSince(u, recovered.Add(2*time.Second)); n < 20 {
@@ -140,7 +140,7 @@
 		w.after(time.Duration(i+1)*time.Second+600*time.Millisecond, func() { n.kill(); n.start() })
 	}
 	w.run(10 * time.Second)
-	if share := within(*list, aim); share < 0.99 {
+	if share := within(*list); share < 0.99 {
 		t.Errorf("%.4f answered within %s during restarts, want 0.99", share, aim)
 	}
 }
--- a/internal/edge/news.go
+++ b/internal/edge/news.go
@@ -28,6 +28,8 @@
 	// readerStagger is the time by which each instance waits for a better
 	// ranked one to read.
 	readerStagger = 100 * time.Millisecond
+	// maxStagger bounds the instances that are waited for.
+	maxStagger = 10
 	// minReadBackoff and maxReadBackoff bound the time between failed reads.
 	minReadBackoff = 200 * time.Millisecond
 	maxReadBackoff = time.Second
@@ -92,30 +94,33 @@
 	if e.routes == nil {
 		return true
 	}
+	active, idle := e.otherReaders(now)
+	switch {
+	case active >= readers, e.stopping && active > 0:
+		r.waiting = time.Time{}
+		return false
+	case r.reads, active+idle < readers:
+		return true
+	case r.waiting.IsZero():
+		r.waiting = now
+	}
+	return now.Sub(r.waiting) >= time.Duration(min(idle, maxStagger))*readerStagger
+}
+
+// otherReaders counts the live peers that read the store and go before this
+// instance, and the better ranked ones that do not read.
+func (e *Edge) otherReaders(now time.Time) (active, idle int) {
 	self := rankOf(e.config.Self, "", 0)
-	active, idle := 0, 0
 	for _, p := range e.roster.peers {
-		if !e.roster.live(now, p) || p.leaving {
-			continue
-		}
 		switch {
-		case p.reads && (p.rank > self || !r.reads):
+		case p.leaving || !e.roster.live(now, p):
+		case p.reads && (p.rank > self || !e.reader.reads):
 			active++
-		case p.rank > self:
+		case !p.reads && p.rank > self:
 			idle++
 		}
 	}
-	if active >= readers || e.stopping && active > 0 {
-		r.waiting = time.Time{}
-		return false
-	}
-	if r.reads || active+idle < readers {
-		return true
-	}
-	if r.waiting.IsZero() {
-		r.waiting = now
-	}
-	return now.Sub(r.waiting) >= time.Duration(min(idle, 10))*readerStagger
+	return active, idle
 }
 
 // informed tells whether this instance or one that it hears reads the store.
--- a/internal/edge/opening.go
+++ b/internal/edge/opening.go
@@ -9,7 +9,6 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/chervilhaven/chervilhaven/internal/catalog"
-	"github.com/chervilhaven/chervilhaven/internal/placer"
 	"github.com/chervilhaven/chervilhaven/internal/token"
 	"github.com/chervilhaven/chervilhaven/pkg/flow"
 )
@@ -117,12 +116,6 @@
 	flushAt time.Time
 }
 
-// report is one outcome to tell an accounting instance.
-type report struct {
-	to     *peer
-	report Report
-}
-
 func routeTable(list []catalog.Route) map[netip.AddrPort]catalog.Route {
 	routes := make(map[netip.AddrPort]catalog.Route, len(list))
 	for _, r := range list {
@@ -230,109 +223,6 @@
 	}
 }
 
-// choose finds the next upstream for an opening, with the help of the instance
-// that accounts for a group of upstreams.
-func (e *Edge) choose(now time.Time, o *opening) {
-	if !o.grouped {
-		o.group, o.grouped = e.random.IntN(e.placer.Groups(o.route.Service)), true
-	}
-	a := e.accountant(now, o.route.Service, o.group)
-	if o.ask == 0 || a != o.accountant {
-		e.openings.ask++
-		o.ask = e.openings.ask
-	}
-	o.phase, o.accountant = asking, a
-	e.openings.asks[o.ask] = o
-	ask := e.askFor(now, o)
-	if a == nil {
-		e.askSelf(now, o, &ask)
-		return
-	}
-	o.due = now.Add(askWait)
-	m := e.tell(a)
-	m.Asks = append(m.Asks, ask)
-	e.wakeAt(o.due)
-}
-
-func (e *Edge) askFor(now time.Time, o *opening) Ask {
-	return Ask{
-		Number: o.ask, Flow: o.id.hash(), Service: o.route.Service, Group: o.group, Avoid: slices.Clone(o.tries), Age: now.Sub(o.opened), Seen: now.Sub(o.seen),
-		Target: o.route.Target, Deadline: o.route.Deadline, Priority: o.route.Priority, Bulk: o.route.Work == catalog.Bulk,
-	}
-}
-
-// askSelf places an opening at the upstreams that this instance accounts for.
-func (e *Edge) askSelf(now time.Time, o *opening, a *Ask) {
-	t := ticketOf(now, a, e.config.DataCentre)
-	e.placeOwn(now, o, a, &t)
-}
-
-// chooseAlone places an opening by what this instance knows, at its share of
-// the pace of all: the others may have to do the same.
-func (e *Edge) chooseAlone(now time.Time, o *opening) {
-	ask := e.askFor(now, o)
-	t := ticketOf(now, &ask, e.config.DataCentre)
-	t.Request.Group, t.Alone = placer.Any, true
-	e.openings.asks[o.ask] = o
-	if number := e.placeOwn(now, o, &ask, &t); number != 0 {
-		e.report(now, o.route.Service, Report{Upstream: number, Taken: 1})
-	}
-}
-
-// placeOwn places an opening without another instance, or lets it wait here.
-func (e *Edge) placeOwn(now time.Time, o *opening, a *Ask, t *placer.Ticket) uint64 {
-	number, verdict := e.account(now, asker{nil, a.Number}, a.Flow, t)
-	switch verdict {
-	case placer.Full:
-		o.phase, o.queued, o.due = asking, true, now.Add(queueRefresh)
-		e.wakeAt(o.due)
-		if now.Equal(o.first) {
-			e.logQueue(o)
-		}
-		return 0
-	case placer.None:
-		t.Request.Suspects = true
-		if number, verdict = e.placer.Place(now, t.Request); verdict != placer.Placed {
-			e.unplaced(now, o)
-			return 0
-		}
-	case placer.Placed:
-	}
-	delete(e.openings.asks, a.Number)
-	e.offer(now, o, number)
-	return number
-}
-
-// coldAllowed tells whether this instance may give flows to cold upstreams.
-func (e *Edge) coldAllowed(now time.Time, service string, group int) bool {
-	return now.Sub(e.started) >= settleFor && e.accountant(now, service, group) == nil && e.mostly(now)
-}
-
-// unplaced refuses an opening that no upstream can take, or waits for the
-// outcome of the tries made.
-func (e *Edge) unplaced(now time.Time, o *opening) {
-	if len(o.tries) > 0 {
-		o.phase, o.due = offered, o.opened.Add(openingFor)
-		e.wakeAt(o.due)
-		return
-	}
-	e.refuse(o.id, "no-upstream")
-	delete(e.openings.flows, o.id)
-}
-
-// offer sends an opening to an upstream.
-func (e *Edge) offer(now time.Time, o *opening, number uint64) {
-	u := e.upstreams.byNumber[number]
-	o.phase, o.offered, o.due = offered, now, now.Add(e.openings.hedgeAfter()<<len(o.tries))
-	o.tries = append(o.tries, number)
-	if len(o.tries) > 1 {
-		e.counts.Hedged++
-		e.flowLog("hedged", o.id, "upstream", u.key, "try", strconv.Itoa(len(o.tries)), "after", now.Sub(o.first).String())
-	}
-	e.emit(Effect{Kind: Forward, Upstream: u.info.Address, Number: number, Token: u.token, Raw: o.raw})
-	e.wakeAt(o.due)
-}
-
 // silent goes on after an opening was not acknowledged in time. Just after the
 // start the fabric spreads flows anew, and acknowledgements pass through other
 // instances: a further upstream would only be loaded in vain.
@@ -359,149 +249,6 @@
 	e.choose(now, o)
 }
 
-// hedgeAfter is the time in which nearly all acknowledgements come.
-func (s *openings) hedgeAfter() time.Duration {
-	if s.acknowledgement == 0 {
-		return 2 * firstAcknowledgement
-	}
-	return min(max(s.acknowledgement+4*s.deviation, minHedge), maxHedge)
-}
-
-// measure takes in one time to an acknowledgement.
-func (s *openings) measure(took time.Duration) {
-	if s.acknowledgement == 0 {
-		s.acknowledgement, s.deviation = took, took/2
-		return
-	}
-	s.deviation += ((took - s.acknowledgement).Abs() - s.deviation) / 4
-	s.acknowledgement += (took - s.acknowledgement) / 8
-}
-
-// established handles a later packet of a flow whose opening is known here.
-func (e *Edge) established(now time.Time, o *opening, p *Packet) {
-	number := o.chosen
-	if o.phase != opened {
-		u, ok := e.upstreams.byToken[p.Token]
-		if !ok || !slices.Contains(o.tries, u.info.Number) {
-			e.counts.UnknownToken++
-			e.flowLog("unknown-token", o.id, "token", hex(p.Token), "through", revision(e.catalog.Through()))
-			return
-		}
-		number = u.info.Number
-		e.acknowledged(now, o, number)
-	}
-	u, ok := e.upstreams.byNumber[number]
-	if !ok {
-		delete(e.openings.flows, o.id)
-		return
-	}
-	e.forward(u, p)
-	if p.Role == flow.Close || p.Role == flow.Reset {
-		delete(e.openings.flows, o.id)
-		e.finished(now, number)
-	}
-}
-
-// acknowledged notes which upstream the caller opened the flow at. A flow that
-// was offered to several is kept to that one, whatever token follows.
-func (e *Edge) acknowledged(now time.Time, o *opening, number uint64) {
-	e.counts.Opened++
-	e.openings.acknowledgedAt = now
-	e.placer.Answered(number)
-	e.report(now, o.route.Service, Report{Upstream: number, Answered: 1})
-	e.cancelAsk(o)
-	if len(o.tries) == 1 {
-		e.openings.measure(now.Sub(o.offered))
-		delete(e.openings.flows, o.id)
-		return
-	}
-	for _, t := range o.tries {
-		if t != number {
-			e.unanswered(now, o.route.Service, t)
-		}
-	}
-	o.phase, o.chosen, o.due = opened, number, now.Add(pinnedFor)
-}
-
-// cancelAsk ends the search for a further upstream.
-func (e *Edge) cancelAsk(o *opening) {
-	delete(e.openings.asks, o.ask)
-	e.accounts.queue.Remove(o.id.hash())
-}
-
-// unanswered notes that an upstream did not answer an opening that another one
-// answered.
-func (e *Edge) unanswered(now time.Time, service string, number uint64) {
-	e.accounts.freed = true
-	e.placer.Moved(number, 1)
-	if e.placer.Silent(now, number, 1, e.config.Self.String(), true) {
-		e.logSuspect(number, e.config.Self)
-	}
-	e.report(now, service, Report{Upstream: number, Moved: 1, Silent: 1})
-}
-
-func (e *Edge) logSuspect(number uint64, reporter netip.AddrPort) {
-	if u, ok := e.upstreams.byNumber[number]; ok {
-		e.log("upstream-suspect", "upstream", u.key, "reporter", reporter.String())
-	}
-}
-
-// finished notes the end of a flow.
-func (e *Edge) finished(now time.Time, number uint64) {
-	u := e.upstreams.byNumber[number]
-	e.accounts.freed = true
-	e.placer.Finished(now, number, 1)
-	e.report(now, u.info.Service, Report{Upstream: number, Finished: 1})
-}
-
-// report queues an outcome for the instance that accounts for the upstream.
-func (e *Edge) report(now time.Time, service string, r Report) {
-	a := e.accountant(now, service, e.placer.GroupOf(service, r.Upstream))
-	if a == nil {
-		return
-	}
-	s := &e.openings
-	for i := range s.reports {
-		if q := &s.reports[i].report; s.reports[i].to == a && q.Upstream == r.Upstream {
-			q.Finished, q.Moved = q.Finished+r.Finished, q.Moved+r.Moved
-			q.Taken, q.Answered, q.Silent = q.Taken+r.Taken, q.Answered+r.Answered, q.Silent+r.Silent
-			return
-		}
-	}
-	if len(s.reports) == 0 {
-		s.flushAt = now.Add(reportInterval)
-		e.wakeAt(s.flushAt)
-	}
-	s.reports = append(s.reports, report{a, r})
-}
-
-// addReports lets outcomes ride along with a message to their accountant.
-func (e *Edge) addReports(p *peer, m *Message) {
-	s := &e.openings
-	s.reports = slices.DeleteFunc(s.reports, func(r report) bool {
-		if r.to != p {
-			return false
-		}
-		m.Reports = append(m.Reports, r.report)
-		return true
-	})
-}
-
-// flushReports sends outcomes that have waited.
-func (e *Edge) flushReports(now time.Time) {
-	s := &e.openings
-	if len(s.reports) == 0 {
-		return
-	}
-	if now.Before(s.flushAt) {
-		e.wakeAt(s.flushAt)
-		return
-	}
-	for _, r := range s.reports {
-		e.tell(r.to)
-	}
-}
-
 // refuseUnrouted resets a flow whose address has no route. While nobody reads
 // the store a route may have been added: the caller's copy is awaited then.
 func (e *Edge) refuseUnrouted(now time.Time, id flowID) {
@@ -531,7 +278,7 @@
 		case o.phase == opened:
 			delete(e.openings.flows, id)
 		case now.Sub(o.opened) >= openingFor:
-			e.abandon(now, o)
+			e.abandon(o, now.Sub(o.first))
 		case o.phase == asking:
 			e.unheard(now, o)
 		case o.phase == offered:
@@ -543,11 +290,11 @@
 }
 
 // abandon forgets an opening that its caller has given up.
-func (e *Edge) abandon(now time.Time, o *opening) {
+func (e *Edge) abandon(o *opening, after time.Duration) {
 	e.counts.Abandoned++
 	delete(e.openings.flows, o.id)
 	e.cancelAsk(o)
-	e.flowLog("abandoned", o.id, "tries", strconv.Itoa(len(o.tries)), "phase", strconv.Itoa(int(o.phase)))
+	e.flowLog("abandoned", o.id, "tries", strconv.Itoa(len(o.tries)), "phase", strconv.Itoa(int(o.phase)), "after", after.String())
 }
 
 func hex(t token.Token) string { return strconv.FormatUint(uint64(t), 16) }
--- a/internal/edge/roster.go
+++ b/internal/edge/roster.go
@@ -208,14 +208,7 @@
 	if m.Asks == nil {
 		p.strikes = 0
 	}
-	for _, a := range m.Peers {
-		if q, ok := e.roster.peers[a]; ok {
-			q.named = now
-		} else if q := e.add(a); q != nil {
-			q.named = now
-			e.tell(q).Hello = true
-		}
-	}
+	e.meet(now, m.Peers)
 	if m.Hello {
 		e.tell(p).Peers = e.somePeers(p, helloPeers)
 	}
@@ -233,6 +226,18 @@
 	}
 }
 
+// meet greets instances that another one names.
+func (e *Edge) meet(now time.Time, addresses []netip.AddrPort) {
+	for _, a := range addresses {
+		if q, ok := e.roster.peers[a]; ok {
+			q.named = now
+		} else if q := e.add(a); q != nil {
+			q.named = now
+			e.tell(q).Hello = true
+		}
+	}
+}
+
 // accountant returns the live instance that accounts for a group of upstreams,
 // nil where it is this one.
 func (e *Edge) accountant(now time.Time, service string, group int) *peer {
--- a/internal/edge/world_test.go
+++ b/internal/edge/world_test.go
@@ -39,7 +39,6 @@
 	cut func(a, b *node) bool
 	// unreachable tells whether packets of an instance do not reach an upstream.
 	unreachable func(n *node, u *server) bool
-	requests    int
 }
 
 type event struct {
@@ -99,34 +98,6 @@
 	waiters []func()
 }
 
-// server is one upstream.
-type server struct {
-	w       *world
-	info    catalog.Upstream
-	key     string
-	alive   bool
-	work    time.Duration
-	busy    int
-	queue   []func()
-	flows   map[string]bool
-	opens   []time.Time
-	strange int
-}
-
-// caller is one flow.
-type caller struct {
-	w           *world
-	source      netip.AddrPort
-	destination netip.AddrPort
-	token       token.Token
-	openedAt    uint64
-	begun       time.Time
-	done        time.Time
-	refused     bool
-	// through is the instance for all packets, nil for the fabric's choice.
-	through *node
-}
-
 func newWorld(t *testing.T, seed uint64) *world {
 	w := &world{
 		t: t, random: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(1_700_000_000, 0),
@@ -351,15 +322,15 @@
 	}})
 }
 
-// addServers adds upstreams of a service and their entries.
-func (w *world) addServers(service, dc string, count int, work time.Duration) []*server {
+// addServers adds upstreams of the service desk and their entries.
+func (w *world) addServers(dc string, count int, work time.Duration) []*server {
 	var list []*server
 	for range count {
 		n := w.random.Uint64()
 		u := &server{
 			w: w, alive: true, work: work, key: fmt.Sprintf("i-%x", n), flows: make(map[string]bool),
 			info: catalog.Upstream{
-				Number: n, Service: service, DataCentre: dc, Slots: 2,
+				Number: n, Service: "desk", DataCentre: dc, Slots: 2,
 				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 200, byte(len(w.upstreams)), 1}), 8000),
 			},
 		}
@@ -377,156 +348,6 @@
 
 func (w *world) withdraw(u *server) { w.put(catalog.Item{Key: catalog.PrefixUpstream + u.key}) }
 
-// packet of a caller: role and index of the caller, as bytes.
-func packetOf(index int, role flow.Role) []byte {
-	return append(binary.BigEndian.AppendUint32(nil, uint32(index)), byte(role))
-}
-
-// forward is a packet at an upstream.
-func (w *world) forward(n *node, number uint64, t token.Token, raw []byte) {
-	u, c := w.upstreams[number], w.callers[binary.BigEndian.Uint32(raw)]
-	if u == nil || !u.alive || w.unreachable != nil && w.unreachable(n, u) {
-		return
-	}
-	key := c.source.String()
-	switch flow.Role(raw[4]) {
-	case flow.Open:
-		u.opens = append(u.opens, w.now)
-		w.after(toCaller, func() { c.answered(u, t) })
-	case flow.Data:
-		if c.openedAt != number {
-			u.strange++
-			return
-		}
-		if !u.flows[key] {
-			u.flows[key] = true
-			u.serve(c, t)
-		}
-	case flow.Close, flow.Reset:
-		delete(u.flows, key)
-	}
-}
-
-// serve works on a request once a slot is free; the queue sheds beyond 8.
-func (u *server) serve(c *caller, t token.Token) {
-	if len(u.queue) >= 8 {
-		return
-	}
-	run := func() {
-		u.busy++
-		work := time.Duration(float64(u.work) * (0.5 + u.w.random.Float64()))
-		u.w.after(work, func() {
-			u.busy--
-			if u.alive {
-				u.w.after(toCaller, func() { c.finish(t) })
-			}
-			if len(u.queue) > 0 {
-				next := u.queue[0]
-				u.queue = u.queue[1:]
-				next()
-			}
-		})
-	}
-	if u.busy < u.info.Slots {
-		run()
-	} else {
-		u.queue = append(u.queue, run)
-	}
-}
-
-// call opens a flow that sends one request.
-func (w *world) call(destination netip.AddrPort, through *node) *caller {
-	index := len(w.callers)
-	c := &caller{
-		w: w, destination: destination, begun: w.now, through: through,
-		source: netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(index >> 16), byte(index >> 8)}), uint16(20000+index&0xff)),
-	}
-	w.callers = append(w.callers, c)
-	for number, d := range []time.Duration{0, firstCopy, secondCopy} {
-		w.after(d, func() {
-			if c.openedAt == 0 && !c.refused {
-				c.send(&Packet{Role: flow.Open, Copy: uint32(number)})
-			}
-		})
-	}
-	return c
-}
-
-func (c *caller) send(p *Packet) {
-	index := slices.Index(c.w.callers, c)
-	p.Source, p.Destination, p.Raw, p.Token = c.source, c.destination, packetOf(index, p.Role), c.token
-	if p.Role == flow.Open {
-		p.Token = 0
-	}
-	c.w.after(toCaller, func() {
-		n := c.through
-		if n == nil {
-			n = c.w.route(index)
-		}
-		if n != nil {
-			n.apply(p)
-		}
-	})
-}
-
-// route is the fabric's choice: a hash over the instances that are up.
-func (w *world) route(index int) *node {
-	var up []*node
-	for _, n := range w.nodes {
-		if n.up && n.edge.Ready() {
-			up = append(up, n)
-		}
-	}
-	if len(up) == 0 {
-		return nil
-	}
-	return up[(index*2654435761>>7)%len(up)]
-}
-
-// answered is the upstream's answer to an opening.
-func (c *caller) answered(u *server, t token.Token) {
-	if c.w.now.Sub(c.begun) > openingFor && c.openedAt == 0 {
-		return
-	}
-	c.token = t
-	if c.openedAt != 0 {
-		return
-	}
-	c.openedAt = u.info.Number
-	c.send(&Packet{Role: flow.Data})
-}
-
-// finish is the end of the upstream's answer.
-func (c *caller) finish(t token.Token) {
-	if c.done.IsZero() {
-		c.token, c.done = t, c.w.now
-		c.send(&Packet{Role: flow.Close})
-	}
-}
-
-func (c *caller) took() time.Duration { return c.done.Sub(c.begun) }
-
-// load opens flows at a rate for d, and returns them.
-func (w *world) load(rate float64, d time.Duration) *[]*caller {
-	list := &[]*caller{}
-	gap := time.Duration(float64(time.Second) / rate)
-	for at := time.Duration(0); at < d; at += gap {
-		w.after(at+time.Duration(w.random.Int64N(int64(gap))), func() { *list = append(*list, w.call(deskRoute, nil)) })
-	}
-	return list
-}
-
-// within returns the share of the flows that were answered within d.
-func within(list []*caller, d time.Duration) float64 {
-	n := 0
-	for _, c := range list {
-		if !c.done.IsZero() && c.took() <= d {
-			n++
-		}
-	}
-	return float64(n) / float64(max(len(list), 1))
-}
-
 // site is a world of two data centres with three instances each, five upstreams
 // each, and a configuration in force.
 func site(t *testing.T, seed uint64) *world {
@@ -534,8 +355,8 @@
 	w.addNodes("a", 3)
 	w.addNodes("b", 3)
 	w.configure(1)
-	w.addServers("desk", "a", 5, 30*time.Millisecond)
-	w.addServers("desk", "b", 5, 30*time.Millisecond)
+	w.addServers("a", 5, 30*time.Millisecond)
+	w.addServers("b", 5, 30*time.Millisecond)
 	w.startAll()
 	w.run(2 * time.Second)
 	return w
@@ -544,14 +365,3 @@
 func addressWithPort(a netip.Addr, port int) netip.AddrPort {
 	return netip.AddrPortFrom(a, uint16(port))
 }
-
-// logged counts the lines of an event.
-func (n *node) logged(event string) int {
-	count := 0
-	for _, l := range n.lines {
-		if l.Event == event {
-			count++
-		}
-	}
-	return count
-}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -132,15 +132,15 @@
 	h.log.Info("started", zap.Stringer("packets", h.config.Packets), zap.Stringer("peers", h.config.Edge.Self),
 		zap.String("data-centre", h.config.Edge.DataCentre))
 	h.last = h.now()
-	h.apply(&edge.Tick{})
+	h.apply(&edge.Tick{}) //nolint:contextcheck // Calls end with the host, which outlives ctx.
 	h.tasks.Go(h.readPackets)
 	h.tasks.Go(h.readPeers)
 	h.tasks.Go(h.serveCatalog)
 	h.tasks.Go(h.tick)
 	<-ctx.Done()
-	h.apply(&edge.Stopping{})
+	h.apply(&edge.Stopping{}) //nolint:contextcheck // Calls end with the host, which outlives ctx.
 	time.Sleep(h.config.Drain)
-	h.close()
+	h.close() //nolint:contextcheck // The end has a bound of its own.
 	h.log.Info("stopped")
 	return nil
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -130,32 +130,6 @@
 	measured time.Time
 }
 
-type upstream struct {
-	info      catalog.Upstream
-	state     State
-	coldUntil time.Time
-	// granted are the times of the outstanding flows, oldest first.
-	granted []time.Time
-	// coldGrants are the times of the flows of the last second given while cold.
-	coldGrants []time.Time
-	work       time.Duration
-	used       time.Time
-	suspicion  suspicion
-	// unanswered counts the openings in a row that were not acknowledged.
-	unanswered int
-}
-
-// suspicion is the evidence that an upstream does not answer.
-type suspicion struct {
-	silent int
-	// reporters are the sources of the unanswered openings.
-	reporters []string
-	until     time.Time
-	length    time.Duration
-	// trial is the time of the opening that tests a suspect, if any.
-	trial time.Time
-}
-
 // Set takes over what is known of an upstream. A new start of the upstream
 // clears what was measured.
 func (p *Placer) Set(now time.Time, info catalog.Upstream, state State, coldPerSecond float64) {
@@ -311,17 +285,6 @@
 	return slots, len(seen)
 }
 
-// full tells whether the upstream has as many flows as it can work on, and
-// those on their way. Flows that stay open between requests say nothing.
-func (u *upstream) full(now time.Time, l *pool, bulk bool) bool {
-	u.expire(now, l)
-	slots := max(u.info.Slots, 1)
-	if bulk {
-		slots *= bulkFactor
-	}
-	return l.usual < longFlows && len(u.granted) >= boundFactor*slots+1
-}
-
 // Count counts a flow that another instance placed.
 func (p *Placer) Count(now time.Time, number uint64) {
 	if u, ok := p.upstreams[number]; ok {
@@ -379,67 +342,6 @@
 	return best
 }
 
-// cost returns the time to the answer of one more flow.
-func (u *upstream) cost(now time.Time, l *pool) time.Duration {
-	u.expire(now, l)
-	work := l.usual
-	if w := u.workAt(now); w > slowFactor*work {
-		work = w
-	}
-	if now.Before(u.coldUntil) {
-		work *= slowFactor
-	}
-	slots := max(u.info.Slots, 1)
-	waiting := max(0, len(u.granted)+1-slots)
-	// A share of the work for each busy slot prefers idle upstreams.
-	return work + work*time.Duration(waiting)/time.Duration(slots) +
-		work*time.Duration(min(len(u.granted), slots))/time.Duration(4*slots)
-}
-
-func (u *upstream) workAt(now time.Time) time.Duration {
-	idle := now.Sub(u.used)
-	if idle < refresh {
-		return u.work
-	}
-	return u.work >> min(idle/refresh, 16)
-}
-
-func (u *upstream) expire(now time.Time, l *pool) {
-	n := 0
-	for n < len(u.granted) && now.Sub(u.granted[n]) > outstandingFactor*l.usual {
-		n++
-	}
-	u.granted = slices.Delete(u.granted, 0, n)
-}
-
-func (u *upstream) grant(now time.Time) {
-	u.granted = append(u.granted, now)
-	u.used = now
-	if now.Before(u.coldUntil) {
-		u.coldGrants = append(u.coldGrants, now)
-	}
-	if u.suspicion.length > 0 {
-		u.suspicion.trial = now
-	}
-}
-
-// warm tells whether the upstream bears one more flow as far as its start is
-// concerned.
-func (u *upstream) warm(now time.Time, l *pool, cold bool) bool {
-	if !now.Before(u.coldUntil) {
-		return true
-	}
-	if !cold {
-		return false
-	}
-	n := 0
-	for n < len(u.coldGrants) && now.Sub(u.coldGrants[n]) > time.Second {
-		n++
-	}
-	u.coldGrants = slices.Delete(u.coldGrants, 0, n)
-	return float64(len(u.coldGrants)) < max(1, l.cold*coldShare)
-}
-
 // measure brings the median work up to date.
 func (l *pool) measure(now time.Time) {
 	if now.Sub(l.measured) < refresh/4 && l.usual > 0 {
@@ -483,18 +385,6 @@
 	}
 }
 
-// likely returns the flow whose age is closest to the usual length: the end of
-// another one may have passed elsewhere, and the oldest would stand for it.
-func (u *upstream) likely(now time.Time, usual time.Duration) int {
-	best := 0
-	for n, g := range u.granted {
-		if (now.Sub(g) - usual).Abs() < (now.Sub(u.granted[best]) - usual).Abs() {
-			best = n
-		}
-	}
-	return best
-}
-
 // Moved counts flows that another upstream answered.
 func (p *Placer) Moved(number uint64, flows int) {
 	if u, ok := p.upstreams[number]; ok {
@@ -502,67 +392,6 @@
 	}
 }
 
-// Answered notes that the upstream answered an opening.
-func (p *Placer) Answered(number uint64) {
-	if u, ok := p.upstreams[number]; ok {
-		u.suspicion, u.unanswered = suspicion{}, 0
-	}
-}
-
-// Silent notes openings that only another upstream answered. The evidence of
-// one source counts for itself; others are believed when two agree. It returns
-// true when the upstream has become suspect.
-func (p *Placer) Silent(now time.Time, number uint64, openings int, reporter string, own bool) bool {
-	u, ok := p.upstreams[number]
-	if !ok {
-		return false
-	}
-	s := &u.suspicion
-	s.silent += openings
-	if !slices.Contains(s.reporters, reporter) {
-		s.reporters = append(s.reporters, reporter)
-	}
-	tested := !s.trial.IsZero()
-	if s.silent < silentToSuspect && !tested || !own && len(s.reporters) < 2 {
-		return false
-	}
-	if now.Before(s.until) && !tested {
-		return false
-	}
-	s.length = min(max(2*s.length, suspectFor), maxSuspectFor)
-	s.until, s.trial = now.Add(s.length), time.Time{}
-	return true
-}
-
-// Unanswered notes an opening that was not acknowledged in time, and returns
-// true when the upstream has become suspect by a row of them.
-func (p *Placer) Unanswered(now time.Time, number uint64, reporter string) bool {
-	u, ok := p.upstreams[number]
-	if !ok {
-		return false
-	}
-	if u.unanswered++; u.unanswered < unansweredToSuspect || !u.suspicion.allows(now) {
-		return false
-	}
-	u.unanswered = 0
-	return p.Silent(now, number, silentToSuspect, reporter, true)
-}
-
-// Suspect tells whether the upstream gets nothing for lack of answers.
-func (p *Placer) Suspect(now time.Time, number uint64) bool {
-	u, ok := p.upstreams[number]
-	return ok && !u.suspicion.allows(now)
-}
-
-// allows tells whether an opening may go to the upstream: one that was
-// suspect gets a single one to test it.
-func (s *suspicion) allows(now time.Time) bool {
-	if s.length == 0 {
-		return true
-	}
-	return !now.Before(s.until) && (s.trial.IsZero() || now.Sub(s.trial) > trialWait)
-}
-
 // Outstanding returns the number of flows counted at the upstream.
 func (p *Placer) Outstanding(now time.Time, number uint64) int {
 	u, ok := p.upstreams[number]
--- /dev/null
+++ b/internal/placer/upstream.go
@@ -0,0 +1,107 @@
+package placer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chervilhaven/chervilhaven/internal/catalog"
+)
+
+type upstream struct {
+	info      catalog.Upstream
+	state     State
+	coldUntil time.Time
+	// granted are the times of the outstanding flows, oldest first.
+	granted []time.Time
+	// coldGrants are the times of the flows of the last second given while cold.
+	coldGrants []time.Time
+	work       time.Duration
+	used       time.Time
+	suspicion  suspicion
+	// unanswered counts the openings in a row that were not acknowledged.
+	unanswered int
+}
+
+// cost returns the time to the answer of one more flow.
+func (u *upstream) cost(now time.Time, l *pool) time.Duration {
+	u.expire(now, l)
+	work := l.usual
+	if w := u.workAt(now); w > slowFactor*work {
+		work = w
+	}
+	if now.Before(u.coldUntil) {
+		work *= slowFactor
+	}
+	slots := max(u.info.Slots, 1)
+	waiting := max(0, len(u.granted)+1-slots)
+	// A share of the work for each busy slot prefers idle upstreams.
+	return work + work*time.Duration(waiting)/time.Duration(slots) +
+		work*time.Duration(min(len(u.granted), slots))/time.Duration(4*slots)
+}
+
+func (u *upstream) workAt(now time.Time) time.Duration {
+	idle := now.Sub(u.used)
+	if idle < refresh {
+		return u.work
+	}
+	return u.work >> min(idle/refresh, 16)
+}
+
+func (u *upstream) expire(now time.Time, l *pool) {
+	n := 0
+	for n < len(u.granted) && now.Sub(u.granted[n]) > outstandingFactor*l.usual {
+		n++
+	}
+	u.granted = slices.Delete(u.granted, 0, n)
+}
+
+func (u *upstream) grant(now time.Time) {
+	u.granted = append(u.granted, now)
+	u.used = now
+	if now.Before(u.coldUntil) {
+		u.coldGrants = append(u.coldGrants, now)
+	}
+	if u.suspicion.length > 0 {
+		u.suspicion.trial = now
+	}
+}
+
+// warm tells whether the upstream bears one more flow as far as its start is
+// concerned.
+func (u *upstream) warm(now time.Time, l *pool, cold bool) bool {
+	if !now.Before(u.coldUntil) {
+		return true
+	}
+	if !cold {
+		return false
+	}
+	n := 0
+	for n < len(u.coldGrants) && now.Sub(u.coldGrants[n]) > time.Second {
+		n++
+	}
+	u.coldGrants = slices.Delete(u.coldGrants, 0, n)
+	return float64(len(u.coldGrants)) < max(1, l.cold*coldShare)
+}
+
+// full tells whether the upstream has as many flows as it can work on, and
+// those on their way. Flows that stay open between requests say nothing.
+func (u *upstream) full(now time.Time, l *pool, bulk bool) bool {
+	u.expire(now, l)
+	slots := max(u.info.Slots, 1)
+	if bulk {
+		slots *= bulkFactor
+	}
+	return l.usual < longFlows && len(u.granted) >= boundFactor*slots+1
+}
+
+// likely returns the flow whose age is closest to the usual length: the end of
+// another one may have passed elsewhere, and the oldest would stand for it.
+func (u *upstream) likely(now time.Time, usual time.Duration) int {
+	best := 0
+	for n, g := range u.granted {
+		if (now.Sub(g) - usual).Abs() < (now.Sub(u.granted[best]) - usual).Abs() {
+			best = n
+		}
+	}
+	return best
+}
--- a/internal/standin/kvstore/kvstore.go
+++ b/internal/standin/kvstore/kvstore.go
@@ -245,20 +245,12 @@
 	}
 	deadline := time.After(min(time.Duration(wait)*time.Millisecond, maxWait))
 	for {
-		s.mu.Lock()
-		lost, changed := after < s.oldest, s.changed
-		answer := watchAnswer{Events: []Item{}, AsOf: s.revision}
-		for _, i := range s.history {
-			if i.Revision > after && strings.HasPrefix(i.Key, q.Get("prefix")) {
-				answer.Events = append(answer.Events, i)
-			}
-		}
-		s.mu.Unlock()
-		if lost {
+		answer, lost, changed := s.since(after, q.Get("prefix"))
+		switch {
+		case lost:
 			w.WriteHeader(http.StatusGone)
 			return
-		}
-		if len(answer.Events) > 0 {
+		case len(answer.Events) > 0:
 			reply(w, answer)
 			return
 		}
@@ -275,6 +267,20 @@
 	}
 }
 
+// since returns the changes after a revision, whether some are lost, and what
+// tells of the next one.
+func (s *Store) since(after uint64, prefix string) (answer watchAnswer, lost bool, changed chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	answer = watchAnswer{Events: []Item{}, AsOf: s.revision}
+	for _, i := range s.history {
+		if i.Revision > after && strings.HasPrefix(i.Key, prefix) {
+			answer.Events = append(answer.Events, i)
+		}
+	}
+	return answer, after < s.oldest, s.changed
+}
+
 func reply(w http.ResponseWriter, answer any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(answer) // The reader is gone; it will ask again.
