--- a/internal/edge/account.go
+++ b/internal/edge/account.go
@@ -102,6 +102,7 @@
 	if (e.starting(now) || t.Alone) && t.Late(now) {
 		t.Request.Limit = e.startShare(t.Request.Service)
 	}
+	t.Request.Far = e.cut
 	t.Request.Cold = e.coldAllowed(now, t.Request.Service, t.Request.Group)
 	return e.placer.Place(now, t.Request)
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -42,8 +42,15 @@
 	reader    reader
 	openings  openings
 	accounts  accounts
-	counts    Counts
-	effects   []Effect
+	sitesNext time.Time
+	// cut are the data centres that are cut off.
+	cut []string
+	// unservable is the time since which no upstream is in reach, turnedAway
+	// the last time at which the fabric was to turn to others.
+	unservable time.Time
+	turnedAway time.Time
+	counts     Counts
+	effects    []Effect
 	// next is the time of the next Tick.
 	next time.Time
 }
@@ -54,6 +61,7 @@
 	e := &Edge{config: c, random: rand.New(rand.NewPCG(c.Seed, c.Seed^0x9e3779b97f4a7c15))}
 	e.placer.Random = e.random
 	e.out = make(map[string]bool)
+	e.roster.sites = make(map[string]*site)
 	e.roster.peers = make(map[netip.AddrPort]*peer)
 	e.accounts.askers, e.accounts.given = make(map[uint64]asker), make(map[uint64]given)
 	e.openings.flows = make(map[flowID]*opening)
@@ -119,6 +127,11 @@
 	if e.roster.due(now) {
 		e.heartbeat(now, false)
 	}
+	if !now.Before(e.sitesNext) {
+		e.sitesNext = now.Add(siteInterval)
+		e.watchSites(now)
+	}
+	e.wakeAt(e.sitesNext)
 	e.expireDoubts(now)
 	e.readIfDue(now)
 	e.fetchIfDue(now)
@@ -141,6 +154,9 @@
 	for _, p := range e.roster.peers {
 		p.heard = p.heard.Add(gap)
 	}
+	for _, s := range e.roster.sites {
+		s.heard = now
+	}
 	clear(e.openings.flows)
 	clear(e.openings.asks)
 	e.log("woke", "gap", gap.String())
@@ -157,9 +173,3 @@
 	}
 	e.emit(Effect{Kind: Log, Line: Line{Event: event, Fields: fields}})
 }
-
-// Ready tells whether the instance can serve new flows: it holds a
-// configuration and is not about to stop.
-func (e *Edge) Ready() bool {
-	return !e.stopping && e.routes != nil
-}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -11,7 +11,7 @@
 )
 
 func TestCalmLoadIsAnsweredInTime(t *testing.T) {
-	w := site(t, 1)
+	w := smallSite(t, 1)
 	list := w.load(150, 5*time.Second)
 	w.run(7 * time.Second)
 	if share := within(*list); share < 0.995 {
@@ -22,7 +22,7 @@
 // Packets of an established flow need no state: any instance forwards them, also
 // after all have started anew.
 func TestEstablishedFlowOutlivesAllInstances(t *testing.T) {
-	w := site(t, 2)
+	w := smallSite(t, 2)
 	for _, u := range w.upstreams {
 		u.work = 3 * time.Second
 	}
@@ -49,7 +49,7 @@
 }
 
 func TestSilentOpeningGoesToAnotherUpstream(t *testing.T) {
-	w := site(t, 3)
+	w := smallSite(t, 3)
 	dead := 0
 	for _, u := range w.upstreams {
 		if dead++; dead <= 3 {
@@ -66,7 +66,7 @@
 // A flow that was offered to two upstreams stays with the one that its caller
 // acknowledged, whatever token the late answer of the other one brought.
 func TestHedgedFlowStaysWithItsUpstream(t *testing.T) {
-	w := site(t, 4)
+	w := smallSite(t, 4)
 	n := w.nodes[0]
 	c := w.call(deskRoute, n)
 	w.run(toCaller + 4*toPeer)
@@ -110,7 +110,7 @@
 }
 
 func TestUnknownRouteIsRefusedByTheInformedOnly(t *testing.T) {
-	w := site(t, 6)
+	w := smallSite(t, 6)
 	c := w.call(netip.MustParseAddrPort("198.18.0.9:1"), w.nodes[0])
 	w.run(100 * time.Millisecond)
 	if !c.refused {
@@ -126,7 +126,7 @@
 }
 
 func TestFlowWithoutAnyUpstreamIsRefusedAtOnce(t *testing.T) {
-	w := site(t, 7)
+	w := smallSite(t, 7)
 	w.configure(2, catalog.Route{Address: ledgerRoute, Service: "ledger"})
 	w.run(200 * time.Millisecond)
 	c := w.call(ledgerRoute, w.nodes[0])
@@ -151,7 +151,7 @@
 }
 
 func TestDrainingUpstreamGetsNoNewFlows(t *testing.T) {
-	w := site(t, 8)
+	w := smallSite(t, 8)
 	u := anyServer(w)
 	list := w.load(150, 6*time.Second)
 	w.run(2 * time.Second)
@@ -168,7 +168,7 @@
 }
 
 func TestDataCentreThatIsOutGetsNoNewFlows(t *testing.T) {
-	w := site(t, 9)
+	w := smallSite(t, 9)
 	w.load(150, 6*time.Second)
 	w.run(2 * time.Second)
 	w.put(catalog.Item{Key: catalog.PrefixOut + "a", Out: true})
@@ -184,7 +184,7 @@
 // Entries that lapsed while the store was away come back 2 s after its return:
 // until then their upstreams serve, and afterwards they are gone.
 func TestVanishedUpstreamsServeForAWhileOnly(t *testing.T) {
-	w := site(t, 10)
+	w := smallSite(t, 10)
 	list := w.load(150, 6*time.Second)
 	w.run(time.Second)
 	for _, u := range w.upstreams {
@@ -219,7 +219,7 @@
 		"partition": func(a, b *node) bool { return a.dc != b.dc },
 	} {
 		t.Run(name, func(t *testing.T) {
-			w := site(t, 11)
+			w := smallSite(t, 11)
 			w.cut = cut
 			w.load(300, 8*time.Second)
 			w.run(3 * time.Second)
@@ -244,7 +244,7 @@
 }
 
 func TestStoppingInstanceIsNotReadyAndServesOn(t *testing.T) {
-	w := site(t, 12)
+	w := smallSite(t, 12)
 	n := w.nodes[0]
 	n.apply(&Stopping{})
 	if n.edge.Ready() {
@@ -258,7 +258,7 @@
 }
 
 func TestTokenOfAGoneUpstreamIsRememberedForALifetime(t *testing.T) {
-	w := site(t, 13)
+	w := smallSite(t, 13)
 	u := anyServer(w)
 	w.withdraw(u)
 	w.run(30 * time.Second)
@@ -290,7 +290,7 @@
 }
 
 func TestPauseOfTheProcessLosesNoPeers(t *testing.T) {
-	w := site(t, 14)
+	w := smallSite(t, 14)
 	n := w.nodes[0]
 	before := len(n.edge.roster.peers)
 	w.now = w.now.Add(5 * time.Second)
--- a/internal/edge/load_test.go
+++ b/internal/edge/load_test.go
@@ -27,7 +27,7 @@
 // window after the return.
 func TestLoadAfterALossOfPower(t *testing.T) {
 	for seed := range uint64(3) {
-		w := site(t, 20+seed)
+		w := smallSite(t, 20+seed)
 		list := w.load(330, 6*time.Second)
 		w.run(2 * time.Second)
 		for _, n := range w.nodes {
@@ -55,7 +55,7 @@
 // free elsewhere.
 func TestHeavyLoadIsPlacedWhereSlotsAreFree(t *testing.T) {
 	play := func(chance bool) float64 {
-		w := site(t, 30)
+		w := smallSite(t, 30)
 		list := w.load(560, 6*time.Second)
 		if chance {
 			for _, n := range w.nodes {
@@ -77,7 +77,7 @@
 
 // Three of ten upstreams die at once while the store is silent.
 func TestCrashOfUpstreamsWhileTheStoreIsSilent(t *testing.T) {
-	w := site(t, 40)
+	w := smallSite(t, 40)
 	list := w.load(300, 6*time.Second)
 	w.run(2 * time.Second)
 	w.store.down = true
@@ -98,7 +98,7 @@
 // A data centre is cut off: its instances and callers go on with its own
 // upstreams.
 func TestLoadInADataCentreThatIsCutOff(t *testing.T) {
-	w := site(t, 50)
+	w := smallSite(t, 50)
 	list := w.load(200, 6*time.Second)
 	w.run(2 * time.Second)
 	w.cut = func(a, b *node) bool { return a.dc != b.dc }
@@ -111,9 +111,55 @@
 	}
 }
 
+// A data centre that was taken out and is then cut off has nothing to send to:
+// its instances ask the fabric to turn to others, and no other instance does.
+func TestInstancesWithoutUpstreamsInReachAreNotReady(t *testing.T) {
+	w := smallSite(t, 55)
+	w.put(catalog.Item{Key: catalog.PrefixOut + "a", Out: true})
+	list := w.load(200, 8*time.Second)
+	w.run(time.Second)
+	for _, n := range w.nodes {
+		if !n.edge.Ready() {
+			t.Errorf("%s is not ready before the cut", n.name)
+		}
+	}
+	w.cut = func(a, b *node) bool { return a.dc != b.dc }
+	w.unreachable = func(n *node, u *server) bool { return n.dc != u.info.DataCentre }
+	w.run(time.Second)
+	for _, n := range w.nodes {
+		if n.edge.Ready() != (n.dc != "a") {
+			t.Errorf("%s of data centre %s: ready %t", n.name, n.dc, n.edge.Ready())
+		}
+	}
+	turned := w.now
+	w.run(3 * time.Second)
+	if share := within(begunBetween(*list, turned, w.now.Add(-time.Second))); share < 0.95 {
+		t.Errorf("%.4f answered within %s once the fabric turned to others, want 0.95", share, aim)
+	}
+	w.cut, w.unreachable = nil, nil
+	w.run(3 * time.Second)
+	for _, n := range w.nodes {
+		if !n.edge.Ready() {
+			t.Errorf("%s is not ready after the cut", n.name)
+		}
+	}
+}
+
+// An instance that only lost its view of others stays ready.
+func TestInstanceThatIsAloneStaysReady(t *testing.T) {
+	w := smallSite(t, 56)
+	alone := w.nodes[2]
+	w.cut = func(a, b *node) bool { return a == alone || b == alone }
+	alone.turnedAway = true
+	w.run(5 * time.Second)
+	if !alone.edge.Ready() {
+		t.Error("an instance with upstreams of its own data centre is not ready")
+	}
+}
+
 // A slow upstream is avoided, and used again once it has recovered.
 func TestSlowUpstreamIsAvoidedAndReturns(t *testing.T) {
-	w := site(t, 60)
+	w := smallSite(t, 60)
 	list := w.load(250, 10*time.Second)
 	u := anyServer(w)
 	w.run(time.Second)
@@ -133,7 +179,7 @@
 
 // Instances that restart one after the other do not disturb the load.
 func TestRestartsInTurnUnderLoad(t *testing.T) {
-	w := site(t, 70)
+	w := smallSite(t, 70)
 	list := w.load(300, 8*time.Second)
 	for i, n := range w.nodes {
 		w.after(time.Duration(i+1)*time.Second, func() { n.apply(&Stopping{}) })
@@ -147,7 +193,7 @@
 
 // A new version of the configuration with many routes reaches all in time.
 func TestLargeConfigurationReachesAll(t *testing.T) {
-	w := site(t, 80)
+	w := smallSite(t, 80)
 	var routes []catalog.Route
 	for n := range 2000 {
 		a := deskRoute.Addr()
--- a/internal/edge/news_test.go
+++ b/internal/edge/news_test.go
@@ -27,7 +27,7 @@
 }
 
 func TestFewReadTheStoreAndAllHaveTheNews(t *testing.T) {
-	w := site(t, 1)
+	w := smallSite(t, 1)
 	if n := w.reading(); n != readers {
 		t.Errorf("%d instances read the store, want %d", n, readers)
 	}
@@ -47,7 +47,7 @@
 func TestInstancesTurnedAwayHaveTheNews(t *testing.T) {
 	for _, silent := range []bool{false, true} {
 		for first := range 6 {
-			w := site(t, 2)
+			w := smallSite(t, 2)
 			w.run(time.Second)
 			for i := range 3 {
 				n := w.nodes[(first+i)%len(w.nodes)]
@@ -67,7 +67,7 @@
 
 // The readers die together, and with them the news; others take over in time.
 func TestOthersReadWhenTheReadersDie(t *testing.T) {
-	w := site(t, 3)
+	w := smallSite(t, 3)
 	for _, n := range w.nodes {
 		if n.edge.reader.reads {
 			n.kill()
@@ -83,7 +83,7 @@
 }
 
 func TestDataCentreThatIsCutOffReadsByItself(t *testing.T) {
-	w := site(t, 4)
+	w := smallSite(t, 4)
 	w.cut = func(a, b *node) bool { return a.dc != b.dc }
 	w.configure(2)
 	w.run(2500 * time.Millisecond)
@@ -95,7 +95,7 @@
 }
 
 func TestLostHistoryIsReplacedByAWholeCopy(t *testing.T) {
-	w := site(t, 5)
+	w := smallSite(t, 5)
 	u := anyServer(w)
 	w.store.down = true
 	w.run(3 * time.Second)
@@ -117,7 +117,7 @@
 // An instance that starts while the store is away has the configuration from
 // its peers.
 func TestStartWithoutTheStore(t *testing.T) {
-	w := site(t, 6)
+	w := smallSite(t, 6)
 	w.store.down = true
 	n := w.nodes[4]
 	n.kill()
@@ -131,7 +131,7 @@
 
 // A stale peer never takes an instance back.
 func TestStalePeerDoesNotTakeOthersBack(t *testing.T) {
-	w := site(t, 7)
+	w := smallSite(t, 7)
 	stale := w.nodes[5]
 	w.cut = func(a, b *node) bool { return a == stale || b == stale }
 	stale.turnedAway = true
@@ -153,7 +153,7 @@
 }
 
 func TestReadsOfTheStoreAreFew(t *testing.T) {
-	w := site(t, 8)
+	w := smallSite(t, 8)
 	before := 0
 	for _, n := range w.nodes {
 		before += n.reads
@@ -171,7 +171,7 @@
 
 // Seeds may be down: any instance that is known leads to all others.
 func TestFleetGrowsWithoutItsSeeds(t *testing.T) {
-	w := site(t, 9)
+	w := smallSite(t, 9)
 	for _, n := range w.nodes[:2] {
 		n.kill()
 	}
--- a/internal/edge/roster.go
+++ b/internal/edge/roster.go
@@ -43,6 +43,7 @@
 // roster is the other instances.
 type roster struct {
 	peers map[netip.AddrPort]*peer
+	sites map[string]*site
 	next  time.Time
 	// heard is true once any peer has been heard.
 	heard bool
@@ -139,6 +140,7 @@
 	for _, p := range targets {
 		e.tell(p)
 	}
+	r.countSites()
 	e.forgetGone(now)
 	e.forgetGiven(now)
 }
@@ -205,6 +207,7 @@
 	}
 	p.heard, p.dataCentre, p.leaving, p.reads = now, m.DataCentre, m.Leaving, m.Reads
 	p.through = uint64(m.Through)
+	e.roster.heardFrom(now, m.DataCentre)
 	if m.Asks == nil {
 		p.strikes = 0
 	}
@@ -247,7 +250,7 @@
 		highest = rankOf(e.config.Self, service, group)
 	}
 	for _, p := range e.roster.peers {
-		if p.leaving || p.strikes >= strikesToAvoid || !e.roster.live(now, p) {
+		if p.leaving || p.strikes >= strikesToAvoid || !e.roster.live(now, p) || slices.Contains(e.cut, p.dataCentre) {
 			continue
 		}
 		if r := rankOf(p.address, service, group); r > highest {
--- /dev/null
+++ b/internal/edge/site.go
@@ -0,0 +1,112 @@
+package edge
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/chervilhaven/chervilhaven/internal/placer"
+)
+
+const (
+	// cutAfter is the least time of silence of a whole data centre after which
+	// it counts as cut off: one heartbeat of a small site and some.
+	cutAfter = 300 * time.Millisecond
+	// cutGaps is the number of usual gaps between messages of a data centre
+	// whose lack counts as a cut.
+	cutGaps = 3
+	// siteInterval is the time between looks at the data centres.
+	siteInterval = 50 * time.Millisecond
+	// unservableFor is the time for which an instance has to lack any upstream
+	// before it asks the fabric to turn to others, and servableFor the time for
+	// which it then does so at least.
+	unservableFor = 200 * time.Millisecond
+	servableFor   = time.Second
+)
+
+// site is another data centre as far as its instances are heard.
+type site struct {
+	heard time.Time
+	peers int
+}
+
+// heardFrom notes a message of a peer in a data centre.
+func (r *roster) heardFrom(now time.Time, dataCentre string) {
+	s, ok := r.sites[dataCentre]
+	if !ok {
+		s = &site{peers: 1}
+		r.sites[dataCentre] = s
+	}
+	s.heard = now
+}
+
+// countSites counts the peers of each data centre anew.
+func (r *roster) countSites() {
+	for _, s := range r.sites {
+		s.peers = 0
+	}
+	for _, p := range r.peers {
+		if s, ok := r.sites[p.dataCentre]; ok && !p.heard.IsZero() {
+			s.peers++
+		}
+	}
+}
+
+// cutOff returns the data centres whose instances have all fallen silent, in
+// order. Those without known instances are not among them.
+func (e *Edge) cutOff(now time.Time) []string {
+	var names []string
+	for name, s := range e.roster.sites {
+		usual := e.roster.interval() / time.Duration(max(s.peers, 1))
+		if name != e.config.DataCentre && s.peers > 0 && now.Sub(s.heard) > max(cutAfter, cutGaps*usual) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// watchSites notes which data centres are cut off and whether this instance
+// can serve at all.
+func (e *Edge) watchSites(now time.Time) {
+	cut := e.cutOff(now)
+	if !slices.Equal(cut, e.cut) {
+		e.log("data-centres-cut-off", "names", strings.Join(cut, ","))
+		e.cut = cut
+	}
+	if e.servable() {
+		e.unservable = time.Time{}
+	} else if e.unservable.IsZero() {
+		e.unservable = now
+	}
+	switch {
+	case !e.unservable.IsZero() && now.Sub(e.unservable) >= unservableFor:
+		if e.turnedAway.IsZero() {
+			e.log("not-servable", "cut-off", strings.Join(e.cut, ","))
+		}
+		e.turnedAway = now
+	case !e.turnedAway.IsZero() && now.Sub(e.turnedAway) >= servableFor:
+		e.log("servable")
+		e.turnedAway = time.Time{}
+	}
+}
+
+// servable tells whether any upstream may be used that is not known to be out
+// of reach.
+func (e *Edge) servable() bool {
+	if len(e.cut) == 0 {
+		return true
+	}
+	for _, u := range e.upstreams.byNumber {
+		if e.stateOf(u) != placer.Closed && !slices.Contains(e.cut, u.info.DataCentre) {
+			return true
+		}
+	}
+	return len(e.upstreams.byNumber) == 0
+}
+
+// Ready tells whether the fabric should send packets here: the instance holds
+// a configuration, is not about to stop and has upstreams in reach.
+func (e *Edge) Ready() bool {
+	return !e.stopping && e.routes != nil && e.turnedAway.IsZero()
+}
--- a/internal/edge/world_test.go
+++ b/internal/edge/world_test.go
@@ -348,9 +348,9 @@
 
 func (w *world) withdraw(u *server) { w.put(catalog.Item{Key: catalog.PrefixUpstream + u.key}) }
 
-// site is a world of two data centres with three instances each, five upstreams
+// smallSite is a world of two data centres with three instances each, five upstreams
 // each, and a configuration in force.
-func site(t *testing.T, seed uint64) *world {
+func smallSite(t *testing.T, seed uint64) *world {
 	w := newWorld(t, seed)
 	w.addNodes("a", 3)
 	w.addNodes("b", 3)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -90,6 +90,8 @@
 	Group int
 	// DataCentre is preferred among equals.
 	DataCentre string
+	// Far are data centres that are the last choice, as they seem cut off.
+	Far []string
 	// Avoid are upstreams not to be used.
 	Avoid []uint64
 	// Cold allows cold upstreams, for the instance that accounts for them.
@@ -312,7 +314,7 @@
 	}
 	for _, u := range l.list {
 		switch {
-		case u.state != state, slices.Contains(r.Avoid, u.info.Number):
+		case u.stateFor(r) != state, slices.Contains(r.Avoid, u.info.Number):
 		case groups > 1 && groupOf(u.info.Number, groups) != r.Group:
 		case !r.Suspects && !u.suspicion.allows(now), !u.warm(now, l, r.Cold):
 		default:
--- a/internal/placer/upstream.go
+++ b/internal/placer/upstream.go
@@ -105,3 +105,11 @@
 	}
 	return best
 }
+
+// stateFor returns the state of the upstream for one request.
+func (u *upstream) stateFor(r Request) State {
+	if u.state == Open && slices.Contains(r.Far, u.info.DataCentre) {
+		return Doubtful
+	}
+	return u.state
+}
