--- /dev/null
+++ b/internal/soak/cmd/soak/main.go
@@ -0,0 +1,75 @@
+// Command soak plays runs of faults against real processes.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/chervilhaven/chervilhaven/internal/soak"
+)
+
+func main() {
+	seed := flag.Uint64("seed", 1, "first seed")
+	seeds := flag.Int("seeds", 1, "number of seeds")
+	minutes := flag.Float64("minutes", 1, "length of a run in minutes")
+	processes := flag.Int("processes", 6, "instances")
+	rate := flag.Float64("rate", 100, "flows a second")
+	program := flag.String("program", "target/chervilhaven-platform", "program under test")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	failed := 0
+	for n := range *seeds {
+		broken, err := play(ctx, soak.Config{
+			Seed: *seed + uint64(n), Duration: time.Duration(*minutes * float64(time.Minute)), Processes: *processes, Rate: *rate, Program: *program,
+			Log: func(string, ...any) {},
+		})
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "soak:", err)
+			os.Exit(1)
+		}
+		if broken {
+			failed++
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	fmt.Printf("%d seeds, %d failed\n", *seeds, failed)
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
+
+// play plays one seed and prints what it saw.
+func play(ctx context.Context, c soak.Config) (bool, error) {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return false, err
+	}
+	c.Dir = dir
+	var faults []string
+	c.Log = func(format string, args ...any) { faults = append(faults, fmt.Sprintf(format, args...)) }
+	r, err := soak.Run(ctx, c)
+	if err != nil {
+		return false, err
+	}
+	fmt.Printf("seed %d: %d of %d flows answered, %d promises broken\n", c.Seed, r.Answered, r.Flows, len(r.Breaks))
+	if len(r.Breaks) == 0 {
+		return false, os.RemoveAll(dir)
+	}
+	for _, f := range faults {
+		fmt.Println("  fault", f)
+	}
+	for _, b := range r.Breaks {
+		fmt.Println("  broke", b)
+	}
+	fmt.Println("  logs in", filepath.Clean(dir))
+	return true, nil
+}
