--- a/internal/edge/acknowledge.go
+++ b/internal/edge/acknowledge.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -29,7 +30,7 @@
 // established handles a later packet of a flow whose opening is known here.
 func (e *Edge) established(now time.Time, o *opening, p *Packet) {
 	number := o.chosen
-	if o.phase != opened {
+	if number == 0 {
 		u, ok := e.upstreams.byToken[p.Token]
 		if !ok || !slices.Contains(o.tries, u.info.Number) {
 			e.counts.UnknownToken++
@@ -37,7 +38,9 @@
 			return
 		}
 		number = u.info.Number
-		e.acknowledged(now, o, number)
+		if o.phase != opened {
+			e.acknowledged(now, o, number)
+		}
 	}
 	u, ok := e.upstreams.byNumber[number]
 	if !ok {
@@ -52,13 +55,18 @@
 }
 
 // acknowledged notes which upstream the caller opened the flow at. A flow that
-// was offered to several is kept to that one, whatever token follows.
+// was offered to several is kept to that one, whatever token follows, unless the
+// packet may carry the token of a later answer already.
 func (e *Edge) acknowledged(now time.Time, o *opening, number uint64) {
 	e.counts.Opened++
 	e.openings.acknowledgedAt = now
 	e.placer.Answered(number)
 	e.report(now, o.route.Service, Report{Upstream: number, Answered: 1})
 	e.cancelAsk(o)
+	if len(o.tries) > 1 && now.Sub(o.offered) >= cmp.Or(e.openings.acknowledgement, firstAcknowledgement) {
+		o.phase, o.due = opened, now.Add(pinnedFor)
+		return
+	}
 	if len(o.tries) == 1 {
 		e.openings.measure(now.Sub(o.offered))
 		delete(e.openings.flows, o.id)
--- a/internal/edge/caller_test.go
+++ b/internal/edge/caller_test.go
@@ -35,6 +35,8 @@
 	begun       time.Time
 	done        time.Time
 	refused     bool
+	// mute loses all packets of an open flow.
+	mute bool
 	// through is the instance for all packets, nil for the fabric's choice.
 	through *node
 }
@@ -120,6 +122,9 @@
 	if p.Role == flow.Open {
 		p.Token = 0
 	}
+	if c.mute && p.Role != flow.Open {
+		return
+	}
 	c.w.after(toCaller, func() {
 		n := c.through
 		if n == nil {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -92,6 +92,35 @@
 	}
 }
 
+// The caller's first packet is lost, and its next one carries the token of a late
+// answer of the other upstream: the flow must not be kept to that one, since its
+// own upstream answers again.
+func TestLateTokenOfAHedgeDoesNotTakeTheFlowAway(t *testing.T) {
+	w := smallSite(t, 15)
+	n := w.nodes[0]
+	c := w.call(deskRoute, n)
+	c.mute = true
+	w.run(toCaller + 4*toPeer)
+	o := n.edge.openings.flows[flowID{c.source, c.destination}]
+	o.due = w.now
+	n.apply(&Tick{})
+	w.run(100 * time.Millisecond)
+	first, second := c.openedAt, o.tries[0]
+	if second == first {
+		second = o.tries[1]
+	}
+	for _, number := range []uint64{second, first} {
+		c.token = n.edge.upstreams.byNumber[number].token
+		c.mute = false
+		c.send(&Packet{Role: flow.Data})
+		c.mute = true
+		w.run(10 * time.Millisecond)
+	}
+	if !w.upstreams[first].flows[c.source.String()] {
+		t.Error("the flow did not reach its upstream")
+	}
+}
+
 func TestOpeningsWaitForTheFirstConfiguration(t *testing.T) {
 	w := newWorld(t, 5)
 	w.addNodes("a", 1)
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -97,7 +97,8 @@
 	f.caller.site.fabric.forward(p)
 }
 
-func (f *flow) request1() {
+// ask sends the request.
+func (f *flow) ask() {
 	data := make([]byte, requestBytes)
 	binary.BigEndian.PutUint64(data, f.request)
 	f.send(&packet{flags: flagAck, echo: f.echo, ack: f.upstream, data: data})
@@ -108,7 +109,7 @@
 	f.caller.mu.Lock()
 	defer f.caller.mu.Unlock()
 	if !f.done {
-		f.request1()
+		f.ask()
 		time.AfterFunc(repeatAfter, f.repeat)
 	}
 }
@@ -159,7 +160,7 @@
 	case p.flags&flagReset != 0:
 		// An upstream resets what it does not know; the system may reset a flow
 		// only while it is not open.
-		if !genuine && !f.opened.IsZero() && c.site.alive(f.upstream) {
+		if !genuine && !f.opened.IsZero() && c.site.alive(f.upstream) && j.settled(0) {
 			j.broke(promiseFlow, "%s was reset by %s after it opened", f.source, from)
 		}
 		f.endLocked(refused)
@@ -169,9 +170,11 @@
 		f.echo = p.echo
 		if f.opened.IsZero() {
 			f.opened, f.upstream = time.Now(), p.ack
-			f.request1()
+			f.ask()
 			time.AfterFunc(repeatAfter, f.repeat)
 		}
+	case len(p.data) == 0:
+		f.echo = p.echo
 	case len(p.data) == answerBytes:
 		if p.ack != f.upstream || binary.BigEndian.Uint64(p.data) != f.request {
 			j.broke(promiseMixed, "%s got the answer of another request", f.source)
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -284,7 +284,9 @@
 			broken = f.strays >= flowStrays && time.Since(f.opened) <= flowWindow
 		}
 		c.mu.Unlock()
-		if broken {
+		// Where packets are lost, a caller may repeat one with the token of
+		// another upstream's late answer.
+		if broken && s.journal.settled(0) {
 			s.journal.broke(promiseFlow, "%d packets of %s reached %s and not its upstream", flowStrays, p.source, u.id)
 		}
 	}
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -103,20 +103,37 @@
 			u.flows[p.source] = f
 		}
 		f.echo = p.echo
-		u.reply(p, f, flagSyn|flagAck, nil)
+		request := *p
+		u.greet(&request, f, repeatAfter)
 	case f == nil:
 		if p.flags&flagReset == 0 {
 			u.site.stray(u, p)
 			u.reply(p, &served{}, flagReset, nil)
 		}
+	case p.ack != uint32(u.number):
+		// The caller opened the flow at another upstream.
+		u.site.stray(u, p)
 	case p.flags&(flagFin|flagReset) != 0:
 		delete(u.flows, p.source)
 	case len(p.data) == requestBytes:
-		f.echo = p.echo
+		f.echo, f.open = p.echo, true
+		u.reply(p, f, flagAck, nil)
 		u.request(p, f)
 	}
 }
 
+// greet answers an opening, again and again until the caller acknowledges.
+func (u *upstream) greet(p *packet, f *served, again time.Duration) {
+	u.reply(p, f, flagSyn|flagAck, nil)
+	time.AfterFunc(again, func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		if !f.open && u.flows[p.source] == f && again < giveUp {
+			u.greet(p, f, 2*again)
+		}
+	})
+}
+
 // opening checks what may not be opened here.
 func (u *upstream) opening(p *packet) {
 	now := time.Now()
