--- a/internal/edge/acknowledge.go
+++ b/internal/edge/acknowledge.go
@@ -69,6 +69,7 @@
 	}
 	if len(o.tries) == 1 {
 		e.openings.measure(now.Sub(o.offered))
+		e.observe(TimeToAcknowledgement, now.Sub(o.offered))
 		delete(e.openings.flows, o.id)
 		return
 	}
--- a/internal/edge/choose.go
+++ b/internal/edge/choose.go
@@ -104,10 +104,22 @@
 	u := e.upstreams.byNumber[number]
 	o.phase, o.offered, o.due = offered, now, now.Add(e.openings.hedgeAfter()<<len(o.tries))
 	o.tries = append(o.tries, number)
-	if len(o.tries) > 1 {
+	if len(o.tries) == 1 {
+		e.observe(TimeHeld, now.Sub(o.first))
+		e.flowLog("placed", o.id, "upstream", u.key, "token", hex(u.token), "accountant", accountantName(o.accountant),
+			"held", now.Sub(o.first).String(), "outstanding", strconv.Itoa(e.placer.Outstanding(now, number)),
+			"through", revision(e.catalog.Through()))
+	} else {
 		e.counts.Hedged++
 		e.flowLog("hedged", o.id, "upstream", u.key, "try", strconv.Itoa(len(o.tries)), "after", now.Sub(o.first).String())
 	}
 	e.emit(Effect{Kind: Forward, Upstream: u.info.Address, Number: number, Token: u.token, Raw: o.raw})
 	e.wakeAt(o.due)
 }
+
+func accountantName(p *peer) string {
+	if p == nil {
+		return "self"
+	}
+	return p.address.String()
+}
--- a/internal/edge/count.go
+++ b/internal/edge/count.go
@@ -3,19 +3,19 @@
 // Counts are the decisions of an instance since its start.
 type Counts struct {
 	// Opened counts flows that their caller acknowledged.
-	Opened uint64
+	Opened uint64 `json:"opened"`
 	// Hedged counts openings sent to a further upstream.
-	Hedged uint64
+	Hedged uint64 `json:"hedged"`
 	// Refused counts openings that were reset.
-	Refused uint64
+	Refused uint64 `json:"refused"`
 	// Abandoned counts openings that no caller acknowledged.
-	Abandoned uint64
+	Abandoned uint64 `json:"abandoned"`
 	// Forwarded counts packets of established flows.
-	Forwarded uint64
+	Forwarded uint64 `json:"forwarded"`
 	// UnknownToken counts packets whose token names no known upstream.
-	UnknownToken uint64
+	UnknownToken uint64 `json:"unknown-token"`
 	// AskedAlone counts asks that the accounting instance did not answer.
-	AskedAlone uint64
+	AskedAlone uint64 `json:"asked-alone"`
 	// Malformed counts entries of the store that could not be read.
-	Malformed uint64
+	Malformed uint64 `json:"malformed"`
 }
--- /dev/null
+++ b/internal/edge/dump.go
@@ -0,0 +1,141 @@
+package edge
+
+import (
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/chervilhaven/chervilhaven/internal/catalog"
+	"github.com/chervilhaven/chervilhaven/internal/placer"
+	"github.com/chervilhaven/chervilhaven/internal/token"
+)
+
+// Dump is the state of an instance for operators.
+type Dump struct {
+	Ready     bool           `json:"ready"`
+	Version   uint64         `json:"configuration-version"`
+	Through   uint64         `json:"through-revision"`
+	Reads     bool           `json:"reads-the-store"`
+	Routes    int            `json:"routes"`
+	Out       []string       `json:"data-centres-out"`
+	CutOff    []string       `json:"data-centres-cut-off"`
+	Waiting   int            `json:"flows-waiting"`
+	Peers     []PeerDump     `json:"peers"`
+	Upstreams []UpstreamDump `json:"upstreams"`
+	Counts    Counts         `json:"counts"`
+}
+
+// PeerDump is another instance.
+type PeerDump struct {
+	Address    string `json:"address"`
+	DataCentre string `json:"data-centre"`
+	Live       bool   `json:"live"`
+	Reads      bool   `json:"reads-the-store"`
+	Through    uint64 `json:"through-revision"`
+	Heard      string `json:"heard-ago"`
+}
+
+// UpstreamDump is one upstream.
+type UpstreamDump struct {
+	Key         string `json:"key"`
+	Service     string `json:"service"`
+	DataCentre  string `json:"data-centre"`
+	Address     string `json:"address"`
+	Token       string `json:"token"`
+	State       string `json:"state"`
+	Suspect     bool   `json:"suspect"`
+	Outstanding int    `json:"outstanding"`
+	Accountant  string `json:"accountant"`
+}
+
+// Dump returns the state of the instance.
+func (e *Edge) Dump(now time.Time) Dump {
+	d := Dump{
+		Ready: e.Ready(), Through: uint64(e.catalog.Through()), Reads: e.reader.reads, Routes: len(e.routes),
+		CutOff: e.cut, Waiting: e.accounts.queue.Len(), Counts: e.counts,
+	}
+	if i, ok := e.catalog.Get(catalog.KeyConfiguration); ok && i.Configuration != nil {
+		d.Version = i.Configuration.Version
+	}
+	for name := range e.out {
+		d.Out = append(d.Out, name)
+	}
+	slices.Sort(d.Out)
+	for _, p := range e.roster.peers {
+		d.Peers = append(d.Peers, PeerDump{
+			p.address.String(), p.dataCentre, e.roster.live(now, p), p.reads, p.through, now.Sub(p.heard).String(),
+		})
+	}
+	slices.SortFunc(d.Peers, func(a, b PeerDump) int { return strings.Compare(a.Address, b.Address) })
+	for _, n := range e.upstreams.sortedNumbers() {
+		d.Upstreams = append(d.Upstreams, e.dumpUpstream(now, e.upstreams.byNumber[n]))
+	}
+	return d
+}
+
+func (e *Edge) dumpUpstream(now time.Time, u *upstream) UpstreamDump {
+	n := u.info.Number
+	a := e.accountant(now, u.info.Service, e.placer.GroupOf(u.info.Service, n))
+	return UpstreamDump{
+		u.key, u.info.Service, u.info.DataCentre, u.info.Address.String(), hex(u.token), e.stateName(u),
+		e.placer.Suspect(now, n), e.placer.Outstanding(now, n), accountantName(a),
+	}
+}
+
+// stateName says why an upstream may get new flows or not.
+func (e *Edge) stateName(u *upstream) string {
+	switch {
+	case !u.gone.IsZero() && u.doubt:
+		return "doubtful"
+	case !u.gone.IsZero():
+		return "gone"
+	case u.clash:
+		return "token-clash"
+	case u.info.Draining:
+		return "draining"
+	case e.stateOf(u) == placer.Closed:
+		return "data-centre-out"
+	default:
+		return "open"
+	}
+}
+
+// Explanation tells where the packets of a flow go and why.
+type Explanation struct {
+	Route    string `json:"route"`
+	Service  string `json:"service"`
+	Work     string `json:"work"`
+	Target   string `json:"target"`
+	Through  uint64 `json:"through-revision"`
+	Informed bool   `json:"news-is-fresh"`
+	// Opening is the state of the flow while it is being opened here.
+	Opening string `json:"opening,omitempty"`
+	// ByToken is the upstream of packets with the token asked for.
+	ByToken *UpstreamDump `json:"by-token,omitempty"`
+	// Upstreams are those that a new flow may go to.
+	Upstreams []UpstreamDump `json:"upstreams"`
+}
+
+// Explain tells where packets from source to destination go: new ones, and
+// those with the token, 0 for none.
+func (e *Edge) Explain(now time.Time, source, destination netip.AddrPort, t token.Token) Explanation {
+	x := Explanation{Route: "none", Through: uint64(e.catalog.Through()), Informed: e.informed(now)}
+	if r, ok := e.routes[destination]; ok {
+		x.Route, x.Service, x.Work, x.Target = destination.String(), r.Service, r.Work.String(), r.Target.String()
+	}
+	if o, ok := e.openings.flows[flowID{source, destination}]; ok {
+		x.Opening = "phase " + strconv.Itoa(int(o.phase)) + ", " + strconv.Itoa(len(o.tries)) + " upstreams tried, " + now.Sub(o.first).String() + " old"
+	}
+	if u, ok := e.upstreams.byToken[t]; ok {
+		d := e.dumpUpstream(now, u)
+		x.ByToken = &d
+	}
+	for _, n := range e.upstreams.sortedNumbers() {
+		if u := e.upstreams.byNumber[n]; u.info.Service == x.Service && e.stateOf(u) != placer.Closed {
+			x.Upstreams = append(x.Upstreams, e.dumpUpstream(now, u))
+		}
+	}
+	return x
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -165,6 +165,10 @@
 
 func (e *Edge) emit(f Effect) { e.effects = append(e.effects, f) }
 
+func (e *Edge) observe(o Observed, took time.Duration) {
+	e.emit(Effect{Kind: Observe, Observed: o, Wait: took})
+}
+
 // log emits a line of keys and values.
 func (e *Edge) log(event string, pairs ...string) {
 	fields := make([]Field, 0, len(pairs)/2)
--- a/internal/edge/event.go
+++ b/internal/edge/event.go
@@ -158,8 +158,30 @@
 	Fetch
 	// Log writes Line.
 	Log
+	// Observe adds Wait to the times that Observed names.
+	Observe
 )
 
+// Observed names a time that is measured.
+type Observed uint8
+
+// Times that are measured.
+const (
+	// TimeToConfiguration is from the start to the first configuration.
+	TimeToConfiguration Observed = iota
+	// TimeHeld is from an opening packet to its upstream.
+	TimeHeld
+	// TimeToAcknowledgement is from there to the caller's acknowledgement.
+	TimeToAcknowledgement
+	// ObservedCount is the number of times that are measured.
+	ObservedCount
+)
+
+// String returns the name of the time as metrics show it.
+func (o Observed) String() string {
+	return [...]string{"start_to_configuration", "opening_held", "opening_to_acknowledgement", ""}[o&3]
+}
+
 // Effect is one thing to carry out. Raw is valid until the next Apply.
 type Effect struct {
 	Kind        EffectKind
@@ -175,6 +197,7 @@
 	Peer        netip.AddrPort
 	Message     *Message
 	Line        Line
+	Observed    Observed
 }
 
 // Line is one log line.
--- a/internal/edge/news.go
+++ b/internal/edge/news.go
@@ -50,6 +50,8 @@
 	reading bool
 	// reads is true while the last read succeeded.
 	reads bool
+	// heard is the time of the last answer of the store.
+	heard time.Time
 	// next is the time of the next read, or of the next look whether to read.
 	next    time.Time
 	backoff time.Duration
@@ -136,6 +138,22 @@
 	return false
 }
 
+// NewsAge returns the time since the store and the peers were heard last.
+func (e *Edge) NewsAge(now time.Time) map[string]time.Duration {
+	age := make(map[string]time.Duration)
+	if !e.reader.heard.IsZero() {
+		age["store"] = now.Sub(e.reader.heard)
+	}
+	var heard time.Time
+	for _, p := range e.roster.peers {
+		heard = latest(heard, p.heard)
+	}
+	if !heard.IsZero() {
+		age["peers"] = now.Sub(heard)
+	}
+	return age
+}
+
 // storeRead puts what the store says in force and tells the others.
 func (e *Edge) storeRead(now time.Time, v *StoreRead) {
 	r := &e.reader
@@ -147,6 +165,7 @@
 		e.counts.Malformed += uint64(n)
 		e.log("entries-malformed", "entries", strconv.Itoa(n), "first", v.Malformed[0].Error(), "through", revision(v.Batch.Through))
 	}
+	r.heard = now
 	through := e.catalog.Through()
 	changed, connected := e.catalog.Apply(now, v.Batch)
 	r.whole = !connected
--- a/internal/edge/upstream.go
+++ b/internal/edge/upstream.go
@@ -112,6 +112,9 @@
 		e.log("configuration-deleted", "source", source, "revision", revision(i.Revision))
 		return
 	}
+	if e.routes == nil {
+		e.observe(TimeToConfiguration, now.Sub(e.started))
+	}
 	e.services = make(map[string]catalog.Service, len(c.Services))
 	for _, s := range c.Services {
 		e.services[s.Name] = s
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -227,6 +227,8 @@
 			h.start(func() { h.fetch(peer, since, timeout) })
 		case edge.Log:
 			h.write(&e.Line)
+		case edge.Observe:
+			h.metrics.times[e.Observed].Update(e.Wait.Seconds())
 		}
 	}
 }
--- /dev/null
+++ b/internal/host/host_test.go
@@ -0,0 +1,222 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"go.uber.org/zap"
+
+	"github.com/chervilhaven/chervilhaven/internal/catalog"
+	"github.com/chervilhaven/chervilhaven/internal/edge"
+	"github.com/chervilhaven/chervilhaven/internal/token"
+	"github.com/chervilhaven/chervilhaven/pkg/flow"
+)
+
+// addresses lets go-cmp compare addresses.
+var addresses = cmpopts.EquateComparable(netip.AddrPort{})
+
+func wholeBatch() catalog.Batch {
+	return catalog.Batch{Whole: true, Since: 0, Through: 7, Items: []catalog.Item{
+		{Key: catalog.KeyConfiguration, Revision: 3, Configuration: &catalog.Configuration{
+			Version: 9, IdleTimeout: 15 * time.Second, Services: []catalog.Service{{Name: "desk", ColdFor: 2 * time.Second, ColdPerSecond: 12.5}},
+			Routes: []catalog.Route{{
+				Address: netip.MustParseAddrPort("198.18.0.1:8443"), Service: "desk", Work: catalog.Bulk,
+				Target: 150 * time.Millisecond, Deadline: time.Second, Priority: 2,
+			}},
+		}},
+		{Key: catalog.PrefixUpstream + "i-1", Revision: 5, Upstream: &catalog.Upstream{
+			Number: 1, Service: "desk", Address: netip.MustParseAddrPort("127.0.0.1:9"), DataCentre: "a", Slots: 2, Draining: true,
+			ColdFor: time.Second, Started: time.UnixMilli(1700000000123),
+		}},
+		{Key: catalog.PrefixOut + "a", Revision: 6, Out: true},
+		{Key: catalog.PrefixUpstream + "i-2", Revision: 7},
+	}}
+}
+
+func TestMessagesSurviveTheWire(t *testing.T) {
+	b := wholeBatch()
+	m := &edge.Message{
+		DataCentre: "a", Leaving: true, Through: 7, Reads: true, Hello: true, Peers: []netip.AddrPort{netip.MustParseAddrPort("10.1.0.2:7000")},
+		News: &b,
+		Asks: []edge.Ask{{
+			Number: 1, Flow: 2, Service: "desk", Group: 3, Avoid: []uint64{4}, Age: 5 * time.Millisecond, Seen: 6 * time.Millisecond,
+			Target: 7 * time.Millisecond, Deadline: 8 * time.Millisecond, Priority: 1, Bulk: true,
+		}},
+		Grants:  []edge.Grant{{Number: 1, Upstream: 2, Queued: true}},
+		Reports: []edge.Report{{Upstream: 1, Finished: 2, Moved: 3, Taken: 4, Answered: 5, Silent: 6}},
+	}
+	if d := cmp.Diff(m, messageFromProto(messageToProto(m)), addresses); d != "" {
+		t.Errorf("message (-want +got):\n%s", d)
+	}
+}
+
+// memory is a store that holds one batch.
+type memory struct{ batch catalog.Batch }
+
+func (m memory) Read(ctx context.Context, since catalog.Revision, _ time.Duration) (edge.StoreRead, error) {
+	if since == 0 {
+		return edge.StoreRead{Batch: m.batch}, nil
+	}
+	<-ctx.Done()
+	return edge.StoreRead{}, ctx.Err()
+}
+
+// lines is a wire of text: "ROLE TOKEN".
+type lines struct{}
+
+var errNoPacket = errors.New("no packet")
+
+func (lines) Decode(b []byte, p *edge.Packet) error {
+	if len(b) == 0 || b[0] > byte(flow.Reset) {
+		return errNoPacket
+	}
+	*p = edge.Packet{
+		Source: netip.MustParseAddrPort("127.0.0.1:40001"), Destination: netip.MustParseAddrPort("198.18.0.1:8443"), Role: flow.Role(b[0]), Raw: b,
+	}
+	return nil
+}
+
+func (lines) AppendForward(b, raw []byte, _ uint64, _ token.Token) []byte { return append(b, raw...) }
+
+func (lines) AppendReset(b []byte, source, _ netip.AddrPort) ([]byte, netip.AddrPort) {
+	return append(b, "reset"...), source
+}
+
+func udp(t *testing.T) (*net.UDPConn, netip.AddrPort) {
+	t.Helper()
+	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() }) // Closed by the test before.
+	return c, c.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// free returns an address that was free for UDP a moment ago.
+func free(t *testing.T) netip.AddrPort {
+	t.Helper()
+	c, a := udp(t)
+	if err := c.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// start runs a host whose only upstream listens at the address.
+func start(t *testing.T, upstream netip.AddrPort) *Host {
+	t.Helper()
+	b := wholeBatch()
+	b.Items[1].Upstream.Address, b.Items[1].Upstream.Draining, b.Items[1].Upstream.ColdFor = upstream, false, 0
+	b.Items[2].Out = false
+	h, err := New(Config{
+		Edge: edge.Config{Self: free(t), DataCentre: "a", Seed: 1}, Packets: free(t), Drain: time.Millisecond, Wire: lines{}, Store: memory{b}, Log: zap.NewNop(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- h.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	for !h.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	return h
+}
+
+func TestPacketsCrossTheHost(t *testing.T) {
+	upstream, address := udp(t)
+	h := start(t, address)
+	caller, _ := udp(t)
+	for _, packet := range [][]byte{{255}, {byte(flow.Open)}} {
+		if _, err := caller.WriteToUDPAddrPort(packet, h.config.Packets); err != nil {
+			t.Fatal(err)
+		}
+	}
+	buffer := make([]byte, 100)
+	if err := upstream.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	n, _, err := upstream.ReadFromUDPAddrPort(buffer)
+	if err != nil || n != 1 || buffer[0] != byte(flow.Open) {
+		t.Errorf("upstream got % x, error %v", buffer[:n], err)
+	}
+	if n := h.metrics.malformed.Get(); n != 1 {
+		t.Errorf("%d malformed packets counted, want 1", n)
+	}
+}
+
+func TestPeersFetchTheCatalog(t *testing.T) {
+	_, address := udp(t)
+	a, b := start(t, address), start(t, address)
+	got := make(chan struct{})
+	b.mu.Lock()
+	peer := a.config.Edge.Self
+	b.mu.Unlock()
+	go func() {
+		b.fetch(peer, 0, 5*time.Second)
+		close(got)
+	}()
+	<-got
+	if n := b.metrics.fetches.Get(); n == 0 {
+		t.Error("no fetch was made")
+	}
+}
+
+func TestOperatorsSeeTheState(t *testing.T) {
+	_, address := udp(t)
+	h := start(t, address)
+	get := func(path string) (int, string) {
+		w := httptest.NewRecorder()
+		h.Inspect().ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+		return w.Code, w.Body.String()
+	}
+	code, body := get("/dump")
+	var d edge.Dump
+	if err := json.Unmarshal([]byte(body), &d); err != nil || code != http.StatusOK {
+		t.Fatal(code, err)
+	}
+	if !d.Ready || d.Version != 9 || d.Routes != 1 || len(d.Upstreams) != 1 || d.Upstreams[0].State != "open" {
+		t.Errorf("dump %+v", d)
+	}
+	code, body = get("/explain?flow=100.64.0.1:1,198.18.0.1:8443&token=" + d.Upstreams[0].Token)
+	var x edge.Explanation
+	if err := json.Unmarshal([]byte(body), &x); err != nil || code != http.StatusOK {
+		t.Fatal(code, body, err)
+	}
+	if x.Service != "desk" || x.ByToken == nil || len(x.Upstreams) != 1 {
+		t.Errorf("explanation %+v", x)
+	}
+	for _, bad := range []string{"/explain?flow=here", "/explain?flow=1.2.3.4:5,6", "/explain?flow=1.2.3.4:5,6.7.8.9:1&token=xyz"} {
+		if code, _ := get(bad); code != http.StatusBadRequest {
+			t.Errorf("%s: status %d", bad, code)
+		}
+	}
+	if _, body = get("/metrics"); !strings.Contains(body, "chervilhaven_edge_ready 1") || !strings.Contains(body, "chervilhaven_edge_start_to_configuration_seconds") {
+		t.Errorf("metrics:\n%s", body)
+	}
+}
+
+func TestListenErrorNamesTheUse(t *testing.T) {
+	_, address := udp(t)
+	_, err := New(Config{Edge: edge.Config{Self: free(t)}, Packets: address, Wire: lines{}, Log: zap.NewNop()})
+	var typed *ListenError
+	if !errors.As(err, &typed) || typed.Use != "packets" {
+		t.Errorf("error %v", err)
+	}
+}
--- /dev/null
+++ b/internal/host/inspect.go
@@ -0,0 +1,80 @@
+package host
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+
+	"go.uber.org/zap"
+
+	"github.com/chervilhaven/chervilhaven/internal/token"
+)
+
+// FlowError tells that a flow asked for cannot be read.
+type FlowError struct {
+	Text  string
+	Cause error
+}
+
+func (e *FlowError) Error() string {
+	return fmt.Sprintf("flow %q: expected IP:PORT,IP:PORT: %v", e.Text, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *FlowError) Unwrap() error { return e.Cause }
+
+// Inspect returns the handler for operators: /metrics, /dump and /explain.
+func (h *Host) Inspect() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { h.WriteMetrics(w) })
+	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) {
+		h.mu.Lock()
+		d := h.edge.Dump(h.now())
+		h.mu.Unlock()
+		h.reply(w, d)
+	})
+	mux.HandleFunc("GET /explain", h.explain)
+	return mux
+}
+
+func (h *Host) explain(w http.ResponseWriter, r *http.Request) {
+	source, destination, err := parseFlow(r.URL.Query().Get("flow"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	var t uint64
+	if text := r.URL.Query().Get("token"); text != "" {
+		if t, err = strconv.ParseUint(text, 16, 32); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+	}
+	h.mu.Lock()
+	x := h.edge.Explain(h.now(), source, destination, token.Token(t))
+	h.mu.Unlock()
+	h.reply(w, x)
+}
+
+func parseFlow(text string) (source, destination netip.AddrPort, err error) {
+	a, b, _ := strings.Cut(text, ",")
+	if source, err = netip.ParseAddrPort(a); err != nil {
+		return source, destination, &FlowError{Text: text, Cause: err}
+	}
+	if destination, err = netip.ParseAddrPort(b); err != nil {
+		return source, destination, &FlowError{Text: text, Cause: err}
+	}
+	return source, destination, nil
+}
+
+func (h *Host) reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	if err := e.Encode(v); err != nil {
+		h.log.Debug("inspect", zap.Error(err))
+	}
+}
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -1,6 +1,14 @@
 package host
 
-import "github.com/VictoriaMetrics/metrics"
+import (
+	"io"
+	"reflect"
+	"strings"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/chervilhaven/chervilhaven/internal/edge"
+)
 
 // counters are what the runtime counts.
 type counters struct {
@@ -16,11 +24,13 @@
 	storeCalls    *metrics.Counter
 	storeFailures *metrics.Counter
 	storeTime     *metrics.PrometheusHistogram
+	// times are those that the reducer observes.
+	times [edge.ObservedCount]*metrics.PrometheusHistogram
 }
 
 func newCounters() *counters {
 	s := metrics.NewSet()
-	return &counters{
+	c := &counters{
 		set:           s,
 		received:      s.NewCounter("chervilhaven_edge_packets_received_total"),
 		sent:          s.NewCounter("chervilhaven_edge_packets_sent_total"),
@@ -34,4 +44,28 @@
 		storeFailures: s.NewCounter("chervilhaven_edge_store_failures_total"),
 		storeTime:     s.NewPrometheusHistogram("chervilhaven_edge_store_call_seconds"),
 	}
+	for o := range edge.ObservedCount {
+		c.times[o] = s.NewPrometheusHistogram("chervilhaven_edge_" + o.String() + "_seconds")
+	}
+	return c
+}
+
+// WriteMetrics writes the metrics of the instance in the usual text format.
+func (h *Host) WriteMetrics(w io.Writer) {
+	h.mu.Lock()
+	counts, ready, age := h.edge.Counts(), h.edge.Ready(), h.edge.NewsAge(h.now())
+	h.mu.Unlock()
+	s := metrics.NewSet()
+	v := reflect.ValueOf(counts)
+	for n := range v.NumField() {
+		name := strings.ReplaceAll(v.Type().Field(n).Tag.Get("json"), "-", "_")
+		s.NewCounter("chervilhaven_edge_" + name + "_total").Set(v.Field(n).Uint())
+	}
+	s.NewGauge("chervilhaven_edge_ready", nil).Set(map[bool]float64{true: 1}[ready])
+	for source, d := range age {
+		s.NewGauge("chervilhaven_edge_news_age_seconds{source=\""+source+"\"}", nil).Set(d.Seconds())
+	}
+	s.WritePrometheus(w)
+	h.metrics.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
 }
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"syscall"
 	"time"
 
@@ -13,7 +14,10 @@
 const (
 	// faultGap is the usual time between the beginnings of two faults, so that
 	// some overlap.
-	faultGap    = 1500 * time.Millisecond
+	faultGap = 1500 * time.Millisecond
+	// phase is the length of a time with faults, and of one with planned work
+	// alone: longer than the longest fault, the time after it, and a bound.
+	phase       = 15 * time.Second
 	longestDown = 4 * time.Second
 	coldFor     = 2 * time.Second
 	// returnAfter is the time in which entries that lapsed come back.
@@ -22,34 +26,36 @@
 	settleAtEnd = recoveryBound + 5*time.Second
 )
 
-// disturbance is one kind of fault; begin starts it and returns what it was.
+// disturbance is one kind of fault or of planned work; bounds hold during the
+// latter.
 type disturbance struct {
-	name  string
-	begin func(s *Site, down time.Duration)
+	name    string
+	planned bool
+	begin   func(s *Site, down time.Duration)
 }
 
 func disturbances() []disturbance {
 	return []disturbance{
-		{"kill one", func(s *Site, down time.Duration) { s.any().kill(down) }},
-		{"kill all", func(s *Site, down time.Duration) { s.killAll(down / 2) }},
-		{"stop one", func(s *Site, _ time.Duration) { s.any().terminate() }},
-		{"pause one", func(s *Site, down time.Duration) { s.pause(s.any(), down) }},
-		{"reload with other seeds", func(s *Site, _ time.Duration) { s.reload() }},
-		{"store silent", func(s *Site, down time.Duration) { s.storeTrouble(kvstore.Silent, down) }},
-		{"store busy", func(s *Site, down time.Duration) { s.storeTrouble(kvstore.Busy, down) }},
-		{"store limits", func(s *Site, down time.Duration) { s.storeTrouble(kvstore.Limited, down) }},
-		{"store resets", func(s *Site, down time.Duration) { s.storeTrouble(kvstore.Reset, down) }},
-		{"store slow", func(s *Site, down time.Duration) { s.storeSlow(down) }},
-		{"store turns some away", func(s *Site, down time.Duration) { s.turnAway(down) }},
-		{"entries lapse", func(s *Site, down time.Duration) { s.lapse(down) }},
-		{"history lost", func(s *Site, _ time.Duration) { s.store.ForgetHistory() }},
-		{"packets lost", func(s *Site, down time.Duration) { s.lose(down) }},
-		{"upstream crashes", func(s *Site, _ time.Duration) { s.crash() }},
-		{"upstream drains", func(s *Site, _ time.Duration) { s.drain() }},
-		{"data centre out", func(s *Site, down time.Duration) { s.takeOut(down) }},
-		{"route added", func(s *Site, _ time.Duration) { s.addRoute() }},
-		{"route removed", func(s *Site, _ time.Duration) { s.removeRoute() }},
-		{"malformed entry", func(s *Site, _ time.Duration) { s.store.Put("servers/i-junk", []byte(`{"service":1}`)) }},
+		{"kill one", false, func(s *Site, down time.Duration) { s.any().kill(down) }},
+		{"kill all", false, func(s *Site, down time.Duration) { s.killAll(down / 2) }},
+		{"stop one", true, func(s *Site, _ time.Duration) { s.any().terminate() }},
+		{"pause one", false, func(s *Site, down time.Duration) { s.pause(s.any(), down) }},
+		{"reload with other seeds", true, func(s *Site, _ time.Duration) { s.reload() }},
+		{"store silent", false, func(s *Site, down time.Duration) { s.storeTrouble(kvstore.Silent, down) }},
+		{"store busy", false, func(s *Site, down time.Duration) { s.storeTrouble(kvstore.Busy, down) }},
+		{"store limits", false, func(s *Site, down time.Duration) { s.storeTrouble(kvstore.Limited, down) }},
+		{"store resets", false, func(s *Site, down time.Duration) { s.storeTrouble(kvstore.Reset, down) }},
+		{"store slow", false, func(s *Site, down time.Duration) { s.storeSlow(down) }},
+		{"store turns some away", false, func(s *Site, down time.Duration) { s.turnAway(down) }},
+		{"entries lapse", false, func(s *Site, down time.Duration) { s.lapse(down) }},
+		{"history lost", true, func(s *Site, _ time.Duration) { s.store.ForgetHistory() }},
+		{"packets lost", false, func(s *Site, down time.Duration) { s.lose(down) }},
+		{"upstream crashes", false, func(s *Site, _ time.Duration) { s.crash() }},
+		{"upstream drains", true, func(s *Site, _ time.Duration) { s.drain() }},
+		{"data centre out", true, func(s *Site, down time.Duration) { s.takeOut(down) }},
+		{"route added", true, func(s *Site, _ time.Duration) { s.addRoute() }},
+		{"route removed", true, func(s *Site, _ time.Duration) { s.removeRoute() }},
+		{"malformed entry", true, func(s *Site, _ time.Duration) { s.store.Put("servers/i-junk", []byte(`{"service":1}`)) }},
 	}
 }
 
@@ -60,12 +66,14 @@
 	defer close(load)
 	end := s.journal.begun.Add(s.config.Duration)
 	s.sleep(ctx, warmUp)
-	kinds := disturbances()
 	for time.Until(end) > settleAtEnd && ctx.Err() == nil {
+		kinds := s.kinds()
 		d := kinds[s.random.IntN(len(kinds))]
 		down := 500*time.Millisecond + time.Duration(s.random.Int64N(int64(longestDown)))
 		s.config.Log("%8.3f %s for %s", time.Since(s.journal.begun).Seconds(), d.name, down)
-		s.journal.disturb(time.Now().Add(down))
+		if !d.planned {
+			s.journal.disturb(time.Now().Add(down))
+		}
 		d.begin(s, down)
 		s.sleep(ctx, time.Duration(s.random.Int64N(int64(2*faultGap))))
 	}
@@ -79,6 +87,20 @@
 	}
 }
 
+// kinds returns what may happen now: faults and planned work by turns with
+// planned work alone, in which all bounds hold.
+func (s *Site) kinds() []disturbance {
+	calm := time.Since(s.journal.begun)%(2*phase) >= phase
+	var list []disturbance
+	for _, d := range disturbances() {
+		if len(s.config.Only) > 0 && !slices.Contains(s.config.Only, d.name) || calm && !d.planned && len(s.config.Only) == 0 {
+			continue
+		}
+		list = append(list, d)
+	}
+	return list
+}
+
 func (s *Site) sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -41,6 +41,8 @@
 	// and logs.
 	Program string
 	Dir     string
+	// Only restricts what happens to the named kinds.
+	Only []string
 	// Log takes a line for each fault.
 	Log func(format string, args ...any)
 }
@@ -64,7 +66,6 @@
 	// ever are all routes that any version had.
 	ever    map[netip.AddrPort]string
 	request uint64
-	ran     map[uint64]string
 
 	done  chan struct{}
 	tasks sync.WaitGroup
@@ -88,7 +89,7 @@
 func Run(ctx context.Context, c Config) (Result, error) {
 	s := &Site{
 		config: c, random: rand.New(rand.NewPCG(c.Seed, 7)), journal: &journal{begun: time.Now()}, out: make(map[string]time.Time),
-		routes: make(map[netip.AddrPort]string), ever: make(map[netip.AddrPort]string), ran: make(map[uint64]string), done: make(chan struct{}),
+		routes: make(map[netip.AddrPort]string), ever: make(map[netip.AddrPort]string), done: make(chan struct{}),
 	}
 	defer s.close()
 	if err := s.start(); err != nil {
@@ -257,17 +258,13 @@
 	return s.out[dataCentre]
 }
 
-// run notes that an upstream runs a request.
+// run checks that somebody sent the request that an upstream runs.
 func (s *Site) run(u *upstream, request uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if other, ok := s.ran[request]; ok && other != u.id {
-		s.journal.broke(promiseOnce, "request %d ran at %s and %s", request, other, u.id)
-	}
 	if request > s.request {
 		s.journal.broke(promiseUnasked, "%s runs request %d that nobody sent", u.id, request)
 	}
-	s.ran[request] = u.id
 }
 
 // stray notes a packet of a flow at an upstream that does not hold it.
