--- a/internal/edge/news.go
+++ b/internal/edge/news.go
@@ -23,8 +23,9 @@
 	// slow and the answer may take pages.
 	wholeTimeout    = 600 * time.Millisecond
 	maxWholeTimeout = 4 * wholeTimeout
-	// readPause spaces the reads of a reader while changes come quickly.
-	readPause = 100 * time.Millisecond
+	// readPause spaces the reads of a reader while changes come quickly: each
+	// read is priced, and the tightest bound is 3 s.
+	readPause = 250 * time.Millisecond
 	// readerStagger is the time by which each instance waits for a better
 	// ranked one to read.
 	readerStagger = 100 * time.Millisecond
