--- a/internal/edge/account.go
+++ b/internal/edge/account.go
@@ -89,7 +89,7 @@
 func ticketOf(now time.Time, a *Ask, dataCentre string) placer.Ticket {
 	return placer.Ticket{
 		Request: placer.Request{
-			Service: a.Service, Group: a.Group, DataCentre: dataCentre, Avoid: a.Avoid, Bounded: true, Bulk: a.Bulk,
+			Service: a.Service, Group: a.Group, DataCentre: dataCentre, Avoid: a.Avoid, Target: a.Target, Bounded: true, Bulk: a.Bulk,
 		},
 		Opened: now.Add(-a.Age), Seen: now.Add(-a.Seen), Asked: now, Target: a.Target, Deadline: min(a.Deadline, openingFor-answerTime), Priority: a.Priority,
 	}
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -126,7 +126,7 @@
 		x.Route, x.Service, x.Work, x.Target = destination.String(), r.Service, r.Work.String(), r.Target.String()
 	}
 	if o, ok := e.openings.flows[flowID{source, destination}]; ok {
-		x.Opening = "phase " + strconv.Itoa(int(o.phase)) + ", " + strconv.Itoa(len(o.tries)) + " upstreams tried, " + now.Sub(o.first).String() + " old"
+		x.Opening = o.phase.String() + ", " + strconv.Itoa(len(o.tries)) + " upstreams tried, " + now.Sub(o.first).String() + " old"
 	}
 	if u, ok := e.upstreams.byToken[t]; ok {
 		d := e.dumpUpstream(now, u)
--- a/internal/edge/opening.go
+++ b/internal/edge/opening.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -71,6 +72,9 @@
 	opened
 )
 
+// String returns the name of the phase.
+func (p phase) String() string { return [...]string{"waiting", "asking", "offered", "opened"}[p&3] }
+
 // opening is one flow from its opening packet to the acknowledgement.
 type opening struct {
 	id    flowID
@@ -294,7 +298,14 @@
 	e.counts.Abandoned++
 	delete(e.openings.flows, o.id)
 	e.cancelAsk(o)
-	e.flowLog("abandoned", o.id, "tries", strconv.Itoa(len(o.tries)), "phase", strconv.Itoa(int(o.phase)), "after", after.String())
+	keys := make([]string, 0, len(o.tries))
+	for _, t := range o.tries {
+		if u, ok := e.upstreams.byNumber[t]; ok {
+			keys = append(keys, u.key)
+		}
+	}
+	e.flowLog("abandoned", o.id, "tried", strings.Join(keys, ","), "phase", o.phase.String(), "after", after.String(),
+		"through", revision(e.catalog.Through()))
 }
 
 func hex(t token.Token) string { return strconv.FormatUint(uint64(t), 16) }
--- /dev/null
+++ b/internal/edge/walk_test.go
@@ -0,0 +1,100 @@
+package edge
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// find returns the first line of an event whose field contains the text.
+func (n *node) find(event, key, text string) *Line {
+	for i := range n.lines {
+		if l := &n.lines[i]; l.Event == event && strings.Contains(l.field(key), text) {
+			return l
+		}
+	}
+	return nil
+}
+
+func (l *Line) field(key string) string {
+	for _, f := range l.Fields {
+		if f.Key == key {
+			return f.Value
+		}
+	}
+	return ""
+}
+
+func (c *caller) id() string { return c.source.String() + "," + c.destination.String() }
+
+// The walks of docs/OPERATIONS.md, step by step, from the flow of a failed
+// request to its cause.
+func TestWalkToAnUpstreamThatDied(t *testing.T) {
+	w := smallSite(t, 90)
+	for _, u := range w.upstreams {
+		u.work = time.Second
+	}
+	n := w.nodes[0]
+	c := w.call(deskRoute, n)
+	w.run(100 * time.Millisecond)
+	u := w.upstreams[c.openedAt]
+	u.alive = false
+	w.withdraw(u)
+	w.run(3 * time.Second)
+	placed := n.find("placed", "flow", c.id())
+	if placed == nil {
+		t.Fatal("step 1: no line of the flow")
+	}
+	gone := n.find("upstream-gone", "upstream", placed.field("upstream"))
+	if gone == nil || gone.field("draining") != "false" {
+		t.Errorf("step 2: no line says that %s vanished", placed.field("upstream"))
+	}
+}
+
+func TestWalkToOverload(t *testing.T) {
+	w := smallSite(t, 91)
+	for _, u := range w.upstreams {
+		u.work = 120 * time.Millisecond
+	}
+	list := w.load(400, 4*time.Second)
+	w.run(6 * time.Second)
+	for _, c := range *list {
+		if !c.done.IsZero() {
+			continue
+		}
+		for _, n := range w.nodes {
+			if l := n.find("abandoned", "flow", c.id()); l != nil && l.field("tried") == "" {
+				for _, m := range w.nodes {
+					if m.find("queued", "service", "desk") != nil {
+						return
+					}
+				}
+				t.Fatal("step 2: no instance says that flows wait")
+			}
+		}
+	}
+	t.Error("step 1: no flow was abandoned while it waited")
+}
+
+func TestWalkToOldNews(t *testing.T) {
+	w := smallSite(t, 92)
+	stale := w.nodes[5]
+	w.cut = func(a, b *node) bool { return a == stale || b == stale }
+	stale.turnedAway, stale.silent = true, true
+	w.run(3 * time.Second)
+	w.configure(2, w.store.items["configuration"].Configuration.Routes[0], routeTo(ledgerRoute))
+	w.run(time.Second)
+	c := w.call(ledgerRoute, stale)
+	w.run(time.Second)
+	line := stale.find("unrouted", "flow", c.id())
+	if line == nil {
+		t.Fatal("step 1: no line of the flow")
+	}
+	newer := w.nodes[0].find("configuration-changed", "version", "2")
+	if newer == nil || newer.field("revision") <= line.field("through") {
+		t.Errorf("step 2: the other instances do not show a newer revision than %s", line.field("through"))
+	}
+	if stale.find("store-failed", "error", "") == nil {
+		t.Error("step 3: no line says that the store was lost")
+	}
+}
--- a/internal/edge/world_test.go
+++ b/internal/edge/world_test.go
@@ -365,3 +365,7 @@
 func addressWithPort(a netip.Addr, port int) netip.AddrPort {
 	return netip.AddrPortFrom(a, uint16(port))
 }
+
+func routeTo(a netip.AddrPort) catalog.Route {
+	return catalog.Route{Address: a, Service: "desk", Target: aim, Deadline: time.Second}
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -62,9 +62,14 @@
 	// probeGain is the growth of the pace while flows end as fast as they are
 	// placed, that of BBR's probing (Cardwell et al. 2016).
 	probeGain = 1.25
-	// longFlows is the usual length from which flows are taken to stay open
-	// between requests: several times the longest work.
-	longFlows = 500 * time.Millisecond
+	// targetFactor times the declared target is the least time for which a flow
+	// counts: one that takes longer has missed its target twice.
+	targetFactor = 2
+	// longFactor times the target is the usual length from which flows are
+	// taken to stay open between requests.
+	longFactor = 4
+	// firstTarget stands for the target before the first request.
+	firstTarget = 150 * time.Millisecond
 	// coldShare is the part of what a cold upstream bears that one instance
 	// gives it. Two instances may account for it while members change.
 	coldShare = 0.5
@@ -90,6 +95,8 @@
 	Group int
 	// DataCentre is preferred among equals.
 	DataCentre string
+	// Target is the declared time to an answer.
+	Target time.Duration
 	// Far are data centres that are the last choice, as they seem cut off.
 	Far []string
 	// Avoid are upstreams not to be used.
@@ -125,6 +132,8 @@
 type pool struct {
 	list []*upstream
 	cold float64
+	// target is the longest declared time to an answer seen so far.
+	target time.Duration
 	// ends are the times of the flows that ended of late.
 	ends []time.Time
 	// usual is the median work of the upstreams, as of measured.
@@ -224,6 +233,7 @@
 	if l == nil {
 		return 0, None
 	}
+	l.target = max(l.target, r.Target)
 	l.measure(now)
 	if r.Limit > 0 && l.recent(now) >= max(r.Limit, 1+int(probeGain*float64(l.ended(now)))) {
 		return 0, Full
@@ -344,6 +354,11 @@
 	return best
 }
 
+// countedFor is the time after which a flow that nobody saw end is forgotten.
+func (l *pool) countedFor() time.Duration {
+	return max(outstandingFactor*l.usual, targetFactor*cmp.Or(l.target, firstTarget))
+}
+
 // measure brings the median work up to date.
 func (l *pool) measure(now time.Time) {
 	if now.Sub(l.measured) < refresh/4 && l.usual > 0 {
@@ -378,7 +393,7 @@
 	usual := l.usual
 	for range min(flows, len(u.granted)) {
 		n := u.likely(now, usual)
-		work := min(now.Sub(u.granted[n]), outstandingFactor*usual)
+		work := min(now.Sub(u.granted[n]), l.countedFor())
 		u.granted = slices.Delete(u.granted, n, n+1)
 		if u.work == 0 {
 			u.work = work
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -82,7 +82,7 @@
 		t.Errorf("upstream %d, verdict %d after an end", n, v)
 	}
 	// Flows whose end nobody saw stop counting.
-	late := at(30 * time.Millisecond).Add(outstandingFactor * firstWork * 2)
+	late := at(30 * time.Millisecond).Add(2 * p.pools[desk].countedFor())
 	if n := p.Outstanding(late, 2); n != 0 {
 		t.Errorf("%d flows still count", n)
 	}
@@ -107,6 +107,23 @@
 	}
 }
 
+// Work that takes longer than at first assumed is measured nevertheless, or the
+// bound would never hold.
+func TestLongWorkIsMeasuredFromTheStart(t *testing.T) {
+	p := newPlacer(1)
+	now := at(0)
+	for range 30 {
+		place(t, p, now, Request{Group: Any, Target: 500 * time.Millisecond})
+		now = now.Add(400 * time.Millisecond)
+		p.Finished(now, 1, 1)
+	}
+	p.pools[desk].measured = time.Time{}
+	p.pools[desk].measure(now)
+	if usual := p.pools[desk].usual; usual < 300*time.Millisecond {
+		t.Errorf("flows of 400 ms count as %s", usual)
+	}
+}
+
 // A dead upstream must not look idle because its flows move on.
 func TestSilentUpstreamDoesNotAttractFlows(t *testing.T) {
 	p := newPlacer(4)
--- a/internal/placer/upstream.go
+++ b/internal/placer/upstream.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -49,7 +50,7 @@
 
 func (u *upstream) expire(now time.Time, l *pool) {
 	n := 0
-	for n < len(u.granted) && now.Sub(u.granted[n]) > outstandingFactor*l.usual {
+	for n < len(u.granted) && now.Sub(u.granted[n]) > l.countedFor() {
 		n++
 	}
 	u.granted = slices.Delete(u.granted, 0, n)
@@ -57,7 +58,7 @@
 
 func (u *upstream) grant(now time.Time) {
 	u.granted = append(u.granted, now)
-	u.used = now
+	u.work, u.used = u.workAt(now), now
 	if now.Before(u.coldUntil) {
 		u.coldGrants = append(u.coldGrants, now)
 	}
@@ -91,7 +92,7 @@
 	if bulk {
 		slots *= bulkFactor
 	}
-	return l.usual < longFlows && len(u.granted) >= boundFactor*slots+1
+	return l.usual < longFactor*cmp.Or(l.target, firstTarget) && len(u.granted) >= boundFactor*slots+1
 }
 
 // likely returns the flow whose age is closest to the usual length: the end of
