--- a/internal/edge/account.go
+++ b/internal/edge/account.go
@@ -20,8 +20,8 @@
 	// startInstances is the number of instances in a data centre that are
 	// taken to start together: today's sites have 7 to 9 in four.
 	startInstances = 2
-	// queueRefresh is the time after which a waiting flow is asked for again,
-	// in case the accounting instance is gone.
+	// queueRefresh is the time between looks whether another instance accounts
+	// for a waiting flow now.
 	queueRefresh = 100 * time.Millisecond
 	// answerTime is the time that a caller needs at least to hear that its
 	// flow was opened: two crossings and the way between data centres.
@@ -210,14 +210,20 @@
 }
 
 // unheard goes on when the accounting instance is silent: a waiting flow is
-// asked for again, any other is placed alone.
+// asked for again only when another instance accounts now, since the caller's
+// copies renew it anyway; any other flow is placed alone.
 func (e *Edge) unheard(now time.Time, o *opening) {
-	delete(e.openings.asks, o.ask)
 	if o.queued {
-		o.queued = false
-		e.choose(now, o)
+		o.due = now.Add(queueRefresh)
+		e.wakeAt(o.due)
+		if a := e.accountant(now, o.route.Service, o.group); a != o.accountant {
+			o.queued = false
+			delete(e.openings.asks, o.ask)
+			e.choose(now, o)
+		}
 		return
 	}
+	delete(e.openings.asks, o.ask)
 	e.counts.AskedAlone++
 	if o.accountant != nil {
 		if o.accountant.strikes++; o.accountant.strikes == strikesToAvoid {
@@ -242,6 +248,9 @@
 	if r.Answered > 0 {
 		e.placer.Answered(r.Upstream)
 	}
+	if r.Unanswered > 0 && e.placer.Unanswered(now, r.Upstream, r.Unanswered, p.address.String(), false) {
+		e.logSuspect(r.Upstream, p.address)
+	}
 	if r.Silent > 0 && e.placer.Silent(now, r.Upstream, r.Silent, p.address.String(), false) {
 		e.logSuspect(r.Upstream, p.address)
 	}
--- a/internal/edge/event.go
+++ b/internal/edge/event.go
@@ -134,10 +134,11 @@
 	Moved int
 	// Taken counts flows that the sender placed without asking.
 	Taken int
-	// Answered counts openings that the upstream answered, Silent those that
-	// only another upstream did.
-	Answered int
-	Silent   int
+	// Answered counts openings that the upstream answered, Unanswered those not
+	// acknowledged in time, and Silent those that only another upstream answered.
+	Answered   int
+	Unanswered int
+	Silent     int
 }
 
 // EffectKind says what the runtime has to do.
--- a/internal/edge/opening.go
+++ b/internal/edge/opening.go
@@ -223,7 +223,11 @@
 		if now.Sub(o.offered) >= e.openings.hedgeAfter() {
 			e.hedge(now, o)
 		}
-	case opened, waiting, asking:
+	case asking:
+		if o.queued {
+			e.choose(now, o)
+		}
+	case opened, waiting:
 	}
 }
 
@@ -232,8 +236,11 @@
 // instances: a further upstream would only be loaded in vain.
 func (e *Edge) silent(now time.Time, o *opening) {
 	last := o.tries[len(o.tries)-1]
-	if now.Sub(e.openings.acknowledgedAt) < acknowledgedFor && e.placer.Unanswered(now, last, e.config.Self.String()) {
-		e.logSuspect(last, e.config.Self)
+	if now.Sub(e.openings.acknowledgedAt) < acknowledgedFor {
+		if e.placer.Unanswered(now, last, 1, e.config.Self.String(), true) {
+			e.logSuspect(last, e.config.Self)
+		}
+		e.report(now, o.route.Service, Report{Upstream: last, Unanswered: 1})
 	}
 	if e.starting(now) {
 		o.due = o.opened.Add(openingFor)
--- a/internal/edge/report.go
+++ b/internal/edge/report.go
@@ -48,7 +48,8 @@
 	for i := range s.reports {
 		if q := &s.reports[i].report; s.reports[i].to == a && q.Upstream == r.Upstream {
 			q.Finished, q.Moved = q.Finished+r.Finished, q.Moved+r.Moved
-			q.Taken, q.Answered, q.Silent = q.Taken+r.Taken, q.Answered+r.Answered, q.Silent+r.Silent
+			q.Taken, q.Answered = q.Taken+r.Taken, q.Answered+r.Answered
+			q.Unanswered, q.Silent = q.Unanswered+r.Unanswered, q.Silent+r.Silent
 			return
 		}
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -62,9 +62,6 @@
 	// probeGain is the growth of the pace while flows end as fast as they are
 	// placed, that of BBR's probing (Cardwell et al. 2016).
 	probeGain = 1.25
-	// targetFactor times the declared target is the least time for which a flow
-	// counts: one that takes longer has missed its target twice.
-	targetFactor = 2
 	// longFactor times the target is the usual length from which flows are
 	// taken to stay open between requests.
 	longFactor = 4
@@ -354,9 +351,10 @@
 	return best
 }
 
-// countedFor is the time after which a flow that nobody saw end is forgotten.
+// countedFor is the time after which a flow that nobody saw end is forgotten:
+// several usual lengths, and at least the target, which it has missed then.
 func (l *pool) countedFor() time.Duration {
-	return max(outstandingFactor*l.usual, targetFactor*cmp.Or(l.target, firstTarget))
+	return max(outstandingFactor*l.usual, cmp.Or(l.target, firstTarget))
 }
 
 // measure brings the median work up to date.
--- a/internal/placer/queue.go
+++ b/internal/placer/queue.go
@@ -24,9 +24,9 @@
 }
 
 // askedFor is the time after which a flow that is not asked for again has been
-// given up or placed by another instance: two of the intervals of asking, and
-// some for a busy processor.
-const askedFor = 250 * time.Millisecond
+// given up or placed by another instance: a caller's copies come 400 ms apart
+// at most.
+const askedFor = 500 * time.Millisecond
 
 // answerShare is the part of the target up to which a waiting flow can still
 // be answered in time: the rest is for the work and the way.
--- a/internal/placer/suspicion.go
+++ b/internal/placer/suspicion.go
@@ -48,18 +48,26 @@
 	return true
 }
 
-// Unanswered notes an opening that was not acknowledged in time, and returns
-// true when the upstream has become suspect by a row of them.
-func (p *Placer) Unanswered(now time.Time, number uint64, reporter string) bool {
+// Unanswered notes openings that were not acknowledged in time, and returns
+// true when the upstream has become suspect by a row of them. As with Silent,
+// others are believed when two agree.
+func (p *Placer) Unanswered(now time.Time, number uint64, openings int, reporter string, own bool) bool {
 	u, ok := p.upstreams[number]
 	if !ok {
 		return false
 	}
-	if u.unanswered++; u.unanswered < unansweredToSuspect || !u.suspicion.allows(now) {
+	u.unanswered += openings
+	if !slices.Contains(u.suspicion.reporters, reporter) {
+		u.suspicion.reporters = append(u.suspicion.reporters, reporter)
+	}
+	if u.unanswered < unansweredToSuspect || !u.suspicion.allows(now) {
+		return false
+	}
+	if !p.Silent(now, number, silentToSuspect, reporter, own) {
 		return false
 	}
 	u.unanswered = 0
-	return p.Silent(now, number, silentToSuspect, reporter, true)
+	return true
 }
 
 // Suspect tells whether the upstream gets nothing for lack of answers.
