Use doubtful upstreams where open ones are full, distant ones only as the last choice

Tests for what mutations of the code did not show: absence that becomes certain, cold upstreams after a start, asks of waiting flows, readers that are turned away.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -23,7 +23,7 @@
 // after all have started anew.
 func TestEstablishedFlowOutlivesAllInstances(t *testing.T) {
 	w := smallSite(t, 2)
-	for _, u := range w.upstreams {
+	for _, u := range w.servers() {
 		u.work = 3 * time.Second
 	}
 	c := w.call(deskRoute, w.nodes[0])
@@ -51,7 +51,7 @@
 func TestSilentOpeningGoesToAnotherUpstream(t *testing.T) {
 	w := smallSite(t, 3)
 	dead := 0
-	for _, u := range w.upstreams {
+	for _, u := range w.servers() {
 		if dead++; dead <= 3 {
 			u.alive = false
 		}
@@ -171,7 +171,7 @@
 
 func anyServer(w *world) *server {
 	var best *server
-	for _, u := range w.upstreams {
+	for _, u := range w.servers() {
 		if best == nil || u.info.Number < best.info.Number {
 			best = u
 		}
@@ -203,7 +203,7 @@
 	w.put(catalog.Item{Key: catalog.PrefixOut + "a", Out: true})
 	acknowledged := w.now
 	w.run(4 * time.Second)
-	for _, u := range w.upstreams {
+	for _, u := range w.servers() {
 		if n := openedSince(u, acknowledged.Add(500*time.Millisecond)); u.info.DataCentre == "a" && n != 0 {
 			t.Errorf("%d flows to %s half a second after it was taken out", n, u.key)
 		}
@@ -216,17 +216,14 @@
 	w := smallSite(t, 10)
 	list := w.load(150, 6*time.Second)
 	w.run(time.Second)
-	for _, u := range w.upstreams {
+	for _, u := range w.servers() {
 		w.withdraw(u)
 	}
 	w.run(2 * time.Second)
-	back := 0
-	var gone *server
-	for _, u := range w.upstreams {
-		if back++; back > 1 {
+	gone := anyServer(w)
+	for _, u := range w.servers() {
+		if u != gone {
 			w.publish(u)
-		} else {
-			gone = u
 		}
 	}
 	w.run(500 * time.Millisecond)
@@ -238,6 +235,54 @@
 	if n := openedSince(gone, certain); n != 0 {
 		t.Errorf("%d flows to the one that did not come back", n)
 	}
+	// Also where it would be the only one.
+	for _, u := range w.servers() {
+		if u != gone {
+			u.info.Draining = true
+			w.publish(u)
+		}
+	}
+	w.run(time.Second)
+	c := w.call(deskRoute, w.nodes[0])
+	w.run(100 * time.Millisecond)
+	if !c.refused {
+		t.Error("a flow was held, or sent to an upstream that is gone")
+	}
+}
+
+func TestInstanceThatHasJustStartedGivesNothingToColdUpstreams(t *testing.T) {
+	w := smallSite(t, 16)
+	for _, n := range w.nodes {
+		n.kill()
+	}
+	w.nodes[0].start()
+	w.run(settleFor - 100*time.Millisecond)
+	e := w.nodes[0].edge
+	if e.coldAllowed(w.now, "desk", 0) {
+		t.Error("allowed before the roster can be complete")
+	}
+	w.run(200 * time.Millisecond)
+	if !e.coldAllowed(w.now, "desk", 0) {
+		t.Error("not allowed although no other instance is there")
+	}
+}
+
+// A waiting flow costs the accountant a few asks, not one each tick: a thousand
+// of them would take all of its processor.
+func TestWaitingFlowIsAskedForAFewTimes(t *testing.T) {
+	w := smallSite(t, 17)
+	for _, u := range w.servers() {
+		u.alive = false
+	}
+	w.load(600, time.Second)
+	w.run(100 * time.Millisecond)
+	before := w.asks
+	flows := len(w.callers)
+	w.run(time.Second)
+	// An opening, two copies, and hedges of those that got an upstream.
+	if asks := w.asks - before; asks > 5*(len(w.callers)-flows) {
+		t.Errorf("%d asks for %d flows within a second", asks, len(w.callers)-flows)
+	}
 }
 
 // The openings that a cold upstream gets are summed over all instances, also
--- a/internal/edge/load_test.go
+++ b/internal/edge/load_test.go
@@ -82,7 +82,7 @@
 	w.run(2 * time.Second)
 	w.store.down = true
 	dead := 0
-	for _, u := range w.upstreams {
+	for _, u := range w.servers() {
 		if dead++; dead <= 3 {
 			u.alive = false
 		}
--- a/internal/edge/news_test.go
+++ b/internal/edge/news_test.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"cmp"
+	"slices"
 	"testing"
 	"time"
 
@@ -65,6 +67,24 @@
 	}
 }
 
+// The best ranked instances are turned away from the start: others read.
+func TestOthersReadWhereTheBestRankedCannot(t *testing.T) {
+	w := smallSite(t, 10)
+	ranked := slices.Clone(w.nodes)
+	slices.SortFunc(ranked, func(a, b *node) int { return cmp.Compare(rankOf(b.address, "", 0), rankOf(a.address, "", 0)) })
+	for _, n := range ranked[:4] {
+		n.turnedAway = true
+	}
+	w.run(2 * time.Second)
+	w.configure(2)
+	w.run(2500 * time.Millisecond)
+	for _, n := range w.nodes {
+		if n.versionOf() != 2 {
+			t.Errorf("%s acts on version %d", n.name, n.versionOf())
+		}
+	}
+}
+
 // The readers die together, and with them the news; others take over in time.
 func TestOthersReadWhenTheReadersDie(t *testing.T) {
 	w := smallSite(t, 3)
--- a/internal/edge/walk_test.go
+++ b/internal/edge/walk_test.go
@@ -31,7 +31,7 @@
 // request to its cause.
 func TestWalkToAnUpstreamThatDied(t *testing.T) {
 	w := smallSite(t, 90)
-	for _, u := range w.upstreams {
+	for _, u := range w.servers() {
 		u.work = time.Second
 	}
 	n := w.nodes[0]
@@ -53,7 +53,7 @@
 
 func TestWalkToOverload(t *testing.T) {
 	w := smallSite(t, 91)
-	for _, u := range w.upstreams {
+	for _, u := range w.servers() {
 		u.work = 120 * time.Millisecond
 	}
 	list := w.load(400, 4*time.Second)
--- a/internal/edge/world_test.go
+++ b/internal/edge/world_test.go
@@ -1,10 +1,12 @@
 package edge
 
 import (
+	"cmp"
 	"container/heap"
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -37,6 +39,8 @@
 	callers   []*caller
 	// cut tells whether datagrams and calls between two instances are lost.
 	cut func(a, b *node) bool
+	// asks counts the asks between instances.
+	asks int
 	// unreachable tells whether packets of an instance do not reach an upstream.
 	unreachable func(n *node, u *server) bool
 }
@@ -210,6 +214,7 @@
 		n.reads++
 		n.read(f, deliver)
 	case Tell:
+		w.asks += len(f.Message.Asks)
 		for _, p := range w.nodes {
 			if p.address != f.Peer || w.cut != nil && w.cut(n, p) {
 				continue
@@ -342,6 +347,11 @@
 	return list
 }
 
+// servers returns the upstreams in the order of their numbers.
+func (w *world) servers() []*server {
+	return slices.SortedFunc(maps.Values(w.upstreams), func(a, b *server) int { return cmp.Compare(a.info.Number, b.info.Number) })
+}
+
 func (w *world) publish(u *server) {
 	info := u.info
 	w.put(catalog.Item{Key: catalog.PrefixUpstream + u.key, Upstream: &info})
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -79,7 +79,11 @@
 const (
 	// Closed upstreams get no new flows.
 	Closed State = iota
-	// Doubtful ones vanished from the store; they are the last choice.
+	// Distant ones are out of reach as far as is known; they are the last
+	// choice.
+	Distant
+	// Doubtful ones vanished from the store a short while ago; they are used
+	// where the open ones are full.
 	Doubtful
 	// Open ones get new flows.
 	Open
@@ -225,7 +229,7 @@
 )
 
 // Place chooses the upstream of a new flow and counts the flow there.
-func (p *Placer) Place(now time.Time, r Request) (uint64, Verdict) {
+func (p *Placer) Place(now time.Time, r Request) (number uint64, verdict Verdict) {
 	l := p.pools[r.Service]
 	if l == nil {
 		return 0, None
@@ -235,8 +239,10 @@
 	if r.Limit > 0 && l.recent(now) >= max(r.Limit, 1+int(probeGain*float64(l.ended(now)))) {
 		return 0, Full
 	}
-	verdict := None
-	for _, state := range []State{Open, Doubtful} {
+	for _, state := range []State{Open, Doubtful, Distant} {
+		if verdict == Full && state == Distant {
+			break
+		}
 		p.collect(now, l, r, state)
 		u := p.best(now, l, r)
 		switch {
@@ -247,9 +253,6 @@
 			u.grant(now)
 			return u.info.Number, Placed
 		}
-		if verdict == Full {
-			return 0, Full
-		}
 	}
 	return 0, verdict
 }
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -248,6 +248,31 @@
 	}
 }
 
+// Where the open ones are full, doubtful ones are used before a flow waits, and
+// those out of reach are not.
+func TestFullUpstreamsLeadToDoubtfulOnesNotToDistantOnes(t *testing.T) {
+	p := newPlacer(2)
+	p.Set(at(0), catalog.Upstream{Number: 3, Service: desk, DataCentre: "far", Slots: 2}, Open, 0)
+	p.SetState(2, Doubtful)
+	r := Request{Service: desk, Group: Any, Bounded: true, Far: []string{"far"}}
+	seen := make(map[uint64]int)
+	for {
+		n, v := p.Place(at(0), r)
+		if v != Placed {
+			break
+		}
+		seen[n]++
+	}
+	if d := cmp.Diff(map[uint64]int{1: 5, 2: 5}, seen); d != "" {
+		t.Errorf("flows of each upstream (-want +got):\n%s", d)
+	}
+	p.SetState(1, Closed)
+	p.SetState(2, Closed)
+	if n, v := p.Place(at(0), r); v != Placed || n != 3 {
+		t.Errorf("upstream %d, verdict %d, want the distant one as the last choice", n, v)
+	}
+}
+
 func TestGroupsAreEvenAndDisjoint(t *testing.T) {
 	p := &Placer{}
 	random := rand.New(rand.NewPCG(3, 4))
--- a/internal/placer/upstream.go
+++ b/internal/placer/upstream.go
@@ -109,8 +109,8 @@
 
 // stateFor returns the state of the upstream for one request.
 func (u *upstream) stateFor(r Request) State {
-	if u.state == Open && slices.Contains(r.Far, u.info.DataCentre) {
-		return Doubtful
+	if u.state != Closed && slices.Contains(r.Far, u.info.DataCentre) {
+		return Distant
 	}
 	return u.state
 }
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -184,16 +184,14 @@
 // living returns the upstreams that serve.
 func (s *Site) living() []*upstream {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	var list []*upstream
-	for _, u := range s.upstreams {
+	all := slices.Clone(s.upstreams)
+	s.mu.Unlock()
+	// An upstream asks the site while it is locked, never the reverse.
+	return slices.DeleteFunc(all, func(u *upstream) bool {
 		u.mu.Lock()
-		if !u.gone && u.draining.IsZero() {
-			list = append(list, u)
-		}
-		u.mu.Unlock()
-	}
-	return list
+		defer u.mu.Unlock()
+		return u.crashed.Load() || !u.draining.IsZero()
+	})
 }
 
 // replace starts a cold upstream in the place of another one.
@@ -207,9 +205,7 @@
 	list := s.living()
 	u := list[s.random.IntN(len(list))]
 	s.replace(u)
-	u.mu.Lock()
-	u.gone = true
-	u.mu.Unlock()
+	u.crashed.Store(true)
 	_ = u.socket.Close() // The crash.
 	s.later(2*time.Second, func() { s.store.Delete("servers/" + u.id) })
 }
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -294,7 +294,7 @@
 	defer s.mu.Unlock()
 	for _, u := range s.upstreams {
 		if uint32(u.number) == number {
-			return !u.gone
+			return !u.crashed.Load()
 		}
 	}
 	return false
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,9 +39,10 @@
 	// openings are the times of opening packets while cold.
 	openings []time.Time
 	cold     time.Time
-	// draining, out and gone are the times at which the store acknowledged it.
+	// draining is the time at which the store acknowledged it.
 	draining time.Time
-	gone     bool
+	// crashed is read without the lock.
+	crashed atomic.Bool
 }
 
 // served is a flow at an upstream.
@@ -201,7 +203,7 @@
 
 // reply sends a packet straight to the caller.
 func (u *upstream) reply(p *packet, f *served, flags byte, data []byte) {
-	if u.gone {
+	if u.crashed.Load() {
 		return
 	}
 	answer := packet{echo: f.echo, source: p.destination, destination: p.source, flags: flags, ack: uint32(u.number), data: data}
