--- a/internal/edge/news.go
+++ b/internal/edge/news.go
@@ -94,7 +94,7 @@
 // instances read the store. Those that come first get some time to start.
 func (e *Edge) mustRead(now time.Time) bool {
 	r := &e.reader
-	if e.routes == nil {
+	if e.catalog.Through() == 0 {
 		return true
 	}
 	active, idle := e.otherReaders(now)
--- a/internal/edge/news_test.go
+++ b/internal/edge/news_test.go
@@ -189,6 +189,37 @@
 	}
 }
 
+// Before the first configuration is published, few instances wait for it at the
+// store.
+func TestReadsBeforeTheFirstConfigurationAreFew(t *testing.T) {
+	w := newWorld(t, 11)
+	w.addNodes("a", 6)
+	w.addNodes("b", 6)
+	w.addServers("a", 1, 10*time.Millisecond)
+	w.startAll()
+	w.run(time.Second)
+	before := 0
+	for _, n := range w.nodes {
+		before += n.reads
+	}
+	w.run(5 * time.Second)
+	reads := -before
+	for _, n := range w.nodes {
+		reads += n.reads
+	}
+	// Two readers, one read a second each.
+	if reads > 15 {
+		t.Errorf("%d reads in 5 s", reads)
+	}
+	w.configure(1)
+	w.run(time.Second)
+	for _, n := range w.nodes {
+		if !n.edge.Ready() {
+			t.Errorf("%s is not ready a second after the first configuration", n.name)
+		}
+	}
+}
+
 // Seeds may be down: any instance that is known leads to all others.
 func TestFleetGrowsWithoutItsSeeds(t *testing.T) {
 	w := smallSite(t, 9)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -31,6 +31,8 @@
 	firstWork = 30 * time.Millisecond
 	// workShare is the weight of a new measurement, as in RFC 6298.
 	workShare = 1.0 / 8
+	// longestWork bounds the length of flows that nobody could measure.
+	longestWork = time.Minute
 	// slowFactor is the work beyond that of the others from which an upstream
 	// counts as slow; within it, differences are those of the requests.
 	slowFactor = 2
@@ -390,7 +392,7 @@
 	}
 	if flows > len(u.granted) {
 		// Flows last longer than they count.
-		u.work += u.work / 4
+		u.work = min(max(u.work, l.usual, firstWork)*5/4, longestWork)
 	}
 	usual := l.usual
 	for range min(flows, len(u.granted)) {
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -124,6 +124,22 @@
 	}
 }
 
+// Flows that stay open between requests end long after they stopped counting:
+// the bound must not hold them back.
+func TestFlowsThatStayOpenAreNotBounded(t *testing.T) {
+	p := newPlacer(1)
+	now := at(0)
+	for range 20 {
+		p.Finished(now, 1, 1)
+	}
+	now = now.Add(time.Second)
+	for n := range 50 {
+		if _, v := p.Place(now, Request{Service: desk, Group: Any, Bounded: true}); v != Placed {
+			t.Fatalf("flow %d waits", n)
+		}
+	}
+}
+
 // A dead upstream must not look idle because its flows move on.
 func TestSilentUpstreamDoesNotAttractFlows(t *testing.T) {
 	p := newPlacer(4)
