--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -31,7 +31,13 @@
 	firstWork = 30 * time.Millisecond
 	// workShare is the weight of a new measurement, as in RFC 6298.
 	workShare = 1.0 / 8
-	// longestWork bounds the length of flows that nobody could measure.
+	// endsWeight is the number of ends over which those of flows that no longer
+	// counted are compared with the others, and keptFactor the preponderance
+	// from which flows are taken to stay open between requests. A partition or
+	// a restart makes some ends uncounted, not most.
+	endsWeight = 50
+	keptFactor = 4
+	// longestWork bounds the length of flows that outlast their count.
 	longestWork = time.Minute
 	// slowFactor is the work beyond that of the others from which an upstream
 	// counts as slow; within it, differences are those of the requests.
@@ -64,11 +70,6 @@
 	// probeGain is the growth of the pace while flows end as fast as they are
 	// placed, that of BBR's probing (Cardwell et al. 2016).
 	probeGain = 1.25
-	// longFactor times the target is the usual length from which flows are
-	// taken to stay open between requests.
-	longFactor = 4
-	// firstTarget stands for the target before the first request.
-	firstTarget = 150 * time.Millisecond
 	// coldShare is the part of what a cold upstream bears that one instance
 	// gives it. Two instances may account for it while members change.
 	coldShare = 0.5
@@ -137,6 +138,10 @@
 	cold float64
 	// target is the longest declared time to an answer seen so far.
 	target time.Duration
+	// counted and others are recent ends of flows that still counted, and of
+	// flows that did not.
+	counted int
+	others  int
 	// ends are the times of the flows that ended of late.
 	ends []time.Time
 	// usual is the median work of the upstreams, as of measured.
@@ -356,6 +361,20 @@
 	return best
 }
 
+// noteEnds counts ends of flows that still counted and of others.
+func (l *pool) noteEnds(counted, others int) {
+	l.counted, l.others = l.counted+counted, l.others+others
+	if l.counted+l.others > endsWeight {
+		l.counted, l.others = l.counted/2, l.others/2
+	}
+}
+
+// staysOpen tells whether flows outlast by far the time for which they count,
+// so that counting them says nothing about the load.
+func (l *pool) staysOpen() bool {
+	return l.others > endsWeight/4 && l.others > keptFactor*l.counted
+}
+
 // countedFor is the time after which a flow that nobody saw end is forgotten.
 func (l *pool) countedFor() time.Duration { return outstandingFactor * l.usual }
 
@@ -390,12 +409,14 @@
 	for range flows {
 		l.ends = append(l.ends, now)
 	}
-	if flows > len(u.granted) {
-		// Flows last longer than they count.
-		u.work = min(max(u.work, l.usual, firstWork)*5/4, longestWork)
+	counted := min(flows, len(u.granted))
+	l.noteEnds(counted, flows-counted)
+	if flows > counted {
+		// Its flows last longer than they count: it is slow.
+		u.work = min(u.work+u.work/4, longestWork)
 	}
 	usual := l.usual
-	for range min(flows, len(u.granted)) {
+	for range counted {
 		n := u.likely(now, usual)
 		work := min(now.Sub(u.granted[n]), l.countedFor())
 		u.granted = slices.Delete(u.granted, n, n+1)
--- a/internal/placer/upstream.go
+++ b/internal/placer/upstream.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -92,7 +91,7 @@
 	if bulk {
 		slots *= bulkFactor
 	}
-	return l.usual < longFactor*cmp.Or(l.target, firstTarget) && len(u.granted) >= boundFactor*slots+1
+	return !l.staysOpen() && len(u.granted) >= boundFactor*slots+1
 }
 
 // likely returns the flow whose age is closest to the usual length: the end of
