Let no flow of the soak start after its scenario has ended

Cause: runScenario closed the load's channel without waiting for the load, so Run read the record while one last flow could still be recorded: the data race of TestShortSoakKeepsAllPromises. The instances have no part in it.

--- a/internal/soak/event.go
+++ b/internal/soak/event.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -64,10 +65,13 @@
 }
 
 // runScenario generates load and starts random events for the duration of the
-// run. At the end it checks that the deployment has recovered from them.
+// run. At the end it checks that the deployment has recovered from them. No flow
+// starts after it has returned.
 func (s *Testbed) runScenario(ctx context.Context) {
 	stopLoad := make(chan struct{})
-	s.tasks.Go(func() { s.generateLoad(stopLoad) })
+	var load sync.WaitGroup
+	load.Go(func() { s.generateLoad(stopLoad) })
+	defer load.Wait()
 	defer close(stopLoad)
 	end := s.journal.startedAt.Add(s.config.Duration)
 	s.sleep(ctx, warmUp)
--- a/internal/soak/journal.go
+++ b/internal/soak/journal.go
@@ -136,8 +136,9 @@
 	return float64(countBetween(j.responseTimes)) / float64(max(1, countBetween(j.startTimes)))
 }
 
-func (j *journal) listViolations() []Violation {
+// result returns what has been recorded so far.
+func (j *journal) result() Result {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return slices.Clone(j.violations)
+	return Result{Flows: j.startedFlows, Answered: j.answered, Violations: slices.Clone(j.violations)}
 }
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -99,7 +99,7 @@
 		return Result{}, err
 	}
 	s.runScenario(ctx)
-	return Result{Flows: s.journal.startedFlows, Answered: s.journal.answered, Violations: s.journal.listViolations()}, nil
+	return s.journal.result(), nil
 }
 
 func (s *Testbed) start() error {
