--- a/internal/tokenserver/server_test.go
+++ b/internal/tokenserver/server_test.go
@@ -110,15 +110,34 @@
 	return c, c.LocalAddr().(*net.UDPAddr).AddrPort()
 }
 
-// freeAddress returns a loopback address whose UDP port was free at the time of the
-// call.
+// freeAddress returns a loopback address whose port was free for UDP and TCP at the
+// time of the call. Its IP address is used by this process only, so that neither
+// outgoing connections nor other processes take the port before the server does.
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	c, a := listenUDP(t)
-	if err := c.Close(); err != nil {
-		t.Fatal(err)
+	pid := os.Getpid()
+	ip := netip.AddrFrom4([4]byte{127, 100, byte(pid >> 8), byte(pid)})
+	const attempts = 100
+	for range attempts {
+		udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(ip, 0)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := udp.LocalAddr().(*net.UDPAddr).AddrPort()
+		tcp, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(address))
+		if err := udp.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if err != nil {
+			continue
+		}
+		if err := tcp.Close(); err != nil {
+			t.Fatal(err)
+		}
+		return address
 	}
-	return a
+	t.Fatalf("no port of %s is free for UDP and TCP", ip)
+	return netip.AddrPort{}
 }
 
 // startServer runs a server with a single upstream at the given address and waits
