--- a/internal/integration/process_test.go
+++ b/internal/integration/process_test.go
@@ -11,7 +11,10 @@
 	"syscall"
 	"testing"
 
+	"go.uber.org/zap/zapcore"
+
 	"github.com/chervilhaven/chervilhaven/internal/fake/deployment"
+	"github.com/chervilhaven/chervilhaven/internal/logging"
 	"github.com/chervilhaven/chervilhaven/internal/ownerserver"
 )
 
@@ -39,7 +42,7 @@
 	i, err := ownerserver.New(ownerserver.Config{Settings: ownerserver.Settings{
 		Name: a.Name, DataCentre: a.DataCentre, Packets: a.Packets, Peers: a.Peers, Inspect: a.Inspect,
 		Platform: []netip.AddrPort{a.Platform}, Fabric: []netip.AddrPort{a.Fabric},
-	}})
+	}, Log: logging.New(os.Stdout, zapcore.InfoLevel)})
 	if err != nil {
 		return err
 	}
@@ -64,7 +67,7 @@
 }
 
 // startProcess starts an instance in a process of its own, which is killed at the
-// end of the test.
+// end of the test. Its log is kept in a file if the test fails.
 func startProcess(t *testing.T, a deployment.InstanceAddresses) *process {
 	t.Helper()
 	addresses, err := json.Marshal(a)
@@ -73,7 +76,11 @@
 	}
 	p := &process{InstanceAddresses: a, command: exec.Command(os.Args[0]), exited: make(chan struct{})}
 	p.command.Env = append(os.Environ(), instanceVariable+"="+string(addresses))
-	p.command.Stderr = os.Stderr
+	log, err := os.CreateTemp("", "chervilhaven-"+a.Name+"-*.log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.command.Stdout, p.command.Stderr = log, log
 	if _, err := p.command.StdinPipe(); err != nil {
 		t.Fatal(err)
 	}
@@ -85,12 +92,29 @@
 		close(p.exited)
 	}()
 	t.Cleanup(func() {
-		_ = p.command.Process.Kill()
+		_ = p.command.Process.Kill() // It may have exited.
 		<-p.exited
+		keepLogOfFailure(t, log)
 	})
 	return p
 }
 
+// keepLogOfFailure closes the log of a process and deletes it unless the test has
+// failed.
+func keepLogOfFailure(t *testing.T, log *os.File) {
+	t.Helper()
+	if err := log.Close(); err != nil {
+		t.Error(err)
+	}
+	if t.Failed() {
+		t.Logf("log of the instance: %s", log.Name())
+		return
+	}
+	if err := os.Remove(log.Name()); err != nil {
+		t.Error(err)
+	}
+}
+
 func (p *process) signal(t *testing.T, s os.Signal) {
 	t.Helper()
 	if err := p.command.Process.Signal(s); err != nil {
