--- a/internal/measure/surge.go
+++ b/internal/measure/surge.go
@@ -236,7 +236,7 @@
 		p.backlog = p.strategy.backlog()
 	}
 	for n := range p.upstreams {
-		p.flowScheduler.SetUpstream(p.clock(), catalog.Upstream{Number: uint64(n + 1), Service: surgeService, Slots: p.Slots}, scheduler.Open, 0)
+		p.flowScheduler.SetUpstream(p.clock(), catalog.Upstream{Number: uint64(n + 1), Service: surgeService, Slots: p.Slots}, scheduler.Open)
 	}
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -148,28 +148,11 @@
 	candidates []*upstream
 }
 
-// pool holds the upstreams of one service, ordered by number.
-type pool struct {
-	members       []*upstream
-	coldPerSecond float64
-	// maxTarget is the longest Request.Target seen so far.
-	maxTarget time.Duration
-	// endedInTime and expired count recent flows whose end was reported before
-	// the flow expired, and flows that expired first.
-	endedInTime int
-	expired     int
-	// endTimes are the times of recent flow ends, of tracked flows and others.
-	endTimes []time.Time
-	// medianServiceTime is the median over the upstreams, computed at medianAt.
-	medianServiceTime time.Duration
-	medianAt          time.Time
-}
-
 // SetUpstream adds or updates an upstream. If the upstream has restarted, its outstanding
 // flows, measurements and suspicion are cleared.
-func (p *Scheduler) SetUpstream(now time.Time, info catalog.Upstream, state State, coldPerSecond float64) {
+func (p *Scheduler) SetUpstream(now time.Time, info catalog.Upstream, state State) {
 	if p.upstreams == nil {
-		p.upstreams, p.pools = make(map[uint64]*upstream), make(map[string]*pool)
+		p.upstreams = make(map[uint64]*upstream)
 	}
 	u, ok := p.upstreams[info.Number]
 	if ok && u.info.Service != info.Service {
@@ -187,7 +170,12 @@
 	}
 	u.info, u.state = info, state
 	u.coldUntil = now.Add(info.ColdFor)
-	p.pools[info.Service].coldPerSecond = coldPerSecond
+}
+
+// SetColdPerSecond sets the number of new flows a second that a cold upstream of a
+// service takes. Upstreams that have warmed up stay warm.
+func (p *Scheduler) SetColdPerSecond(service string, rate float64) {
+	p.pool(service).coldPerSecond = rate
 }
 
 // SetState changes the state of an upstream. Unknown upstreams are ignored.
@@ -198,11 +186,7 @@
 }
 
 func (p *Scheduler) add(u *upstream) {
-	pl := p.pools[u.info.Service]
-	if pl == nil {
-		pl = &pool{}
-		p.pools[u.info.Service] = pl
-	}
+	pl := p.pool(u.info.Service)
 	i, _ := slices.BinarySearchFunc(pl.members, u, byNumber)
 	pl.members = slices.Insert(pl.members, i, u)
 }
@@ -281,29 +265,6 @@
 	return 0, verdict
 }
 
-// recentFlows counts the outstanding flows that were placed within recentWindow.
-func (pl *pool) recentFlows(now time.Time) int {
-	n := 0
-	for _, u := range pl.members {
-		for _, f := range u.placed {
-			if now.Sub(f.at) < recentWindow {
-				n++
-			}
-		}
-	}
-	return n
-}
-
-// recentEnds returns the number of flows that ended within recentWindow, and drops older ends.
-func (pl *pool) recentEnds(now time.Time) int {
-	n := 0
-	for n < len(pl.endTimes) && now.Sub(pl.endTimes[n]) >= recentWindow {
-		n++
-	}
-	pl.endTimes = slices.Delete(pl.endTimes, 0, n)
-	return len(pl.endTimes)
-}
-
 // Slots returns the total slots of a service's upstreams that are not closed, and
 // the number of data centres that they are in.
 func (p *Scheduler) Slots(service string) (slots, dataCentres int) {
@@ -413,45 +374,6 @@
 	return best
 }
 
-// recordOutcomes adds flows that ended in time and flows that expired. The counts
-// are halved when they exceed longLivedSample, so that recent flows dominate.
-func (pl *pool) recordOutcomes(ended, expired int) {
-	pl.endedInTime, pl.expired = pl.endedInTime+ended, pl.expired+expired
-	if pl.endedInTime+pl.expired > longLivedSample {
-		pl.endedInTime, pl.expired = pl.endedInTime/2, pl.expired/2
-	}
-}
-
-// longLived reports whether most flows outlast their expiry. The number of tracked
-// flows then says nothing about the load.
-func (pl *pool) longLived() bool {
-	return pl.expired > longLivedSample/4 && pl.expired > longLivedRatio*pl.endedInTime
-}
-
-// flowExpiry returns the time after which a flow without a reported end expires.
-func (pl *pool) flowExpiry() time.Duration {
-	return flowExpiryFactor * max(pl.medianServiceTime, initialServiceTime)
-}
-
-// updateMedian recomputes the median service time if it is out of date.
-func (pl *pool) updateMedian(now time.Time) {
-	if now.Sub(pl.medianAt) < serviceTimeHalfLife/4 && pl.medianServiceTime > 0 {
-		return
-	}
-	pl.medianAt = now
-	times := make([]time.Duration, 0, len(pl.members))
-	for _, u := range pl.members {
-		if u.serviceTime > 0 {
-			times = append(times, u.serviceTime)
-		}
-	}
-	pl.medianServiceTime = max(initialServiceTime, pl.maxTarget/2)
-	if len(times) > 0 {
-		slices.Sort(times)
-		pl.medianServiceTime = times[len(times)/2]
-	}
-}
-
 // FlowEnded records the end of a flow. The end of a flow that is not tracked here
 // gives no measurement: another instance placed the flow, or it has expired.
 func (p *Scheduler) FlowEnded(now time.Time, number, flow uint64) {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -18,7 +18,8 @@
 func newScheduler(n int) *Scheduler {
 	p := &Scheduler{Random: rand.New(rand.NewPCG(1, 1))}
 	for i := 1; i <= n; i++ {
-		p.SetUpstream(at(0), catalog.Upstream{Number: uint64(i), Service: desk, DataCentre: "a", Slots: 2}, Open, 10)
+		p.SetUpstream(at(0), catalog.Upstream{Number: uint64(i), Service: desk, DataCentre: "a", Slots: 2}, Open)
+		p.SetColdPerSecond(desk, 10)
 	}
 	return p
 }
@@ -52,7 +53,7 @@
 
 func TestPlacePrefersOwnDataCentreOnTiesOnly(t *testing.T) {
 	p := newScheduler(1)
-	p.SetUpstream(at(0), catalog.Upstream{Number: 9, Service: desk, DataCentre: "b", Slots: 2}, Open, 0)
+	p.SetUpstream(at(0), catalog.Upstream{Number: 9, Service: desk, DataCentre: "b", Slots: 2}, Open)
 	if n := place(t, p, at(0), Request{Group: AnyGroup, DataCentre: "b"}); n != 9 {
 		t.Errorf("flow was placed at upstream %d in another data centre, want 9", n)
 	}
@@ -319,7 +320,8 @@
 
 func TestColdUpstreamGetsItsShareFromCoordinatorOnly(t *testing.T) {
 	p := newScheduler(0)
-	p.SetUpstream(at(0), catalog.Upstream{Number: 1, Service: desk, Slots: 2, ColdFor: 2 * time.Second}, Open, 10)
+	p.SetUpstream(at(0), catalog.Upstream{Number: 1, Service: desk, Slots: 2, ColdFor: 2 * time.Second}, Open)
+	p.SetColdPerSecond(desk, 10)
 	if _, v := p.Place(at(0), Request{Service: desk, Group: AnyGroup}); v != NoUpstream {
 		t.Errorf("verdict is %d for a cold upstream without AllowCold, want NoUpstream", v)
 	}
@@ -344,7 +346,8 @@
 	p := newScheduler(1)
 	place(t, p, at(0), Request{Group: AnyGroup})
 	p.RecordFailover(at(0), 1, 2, "self", true)
-	p.SetUpstream(at(0), catalog.Upstream{Number: 1, Service: desk, Slots: 2, Started: at(0)}, Open, 10)
+	p.SetUpstream(at(0), catalog.Upstream{Number: 1, Service: desk, Slots: 2, Started: at(0)}, Open)
+	p.SetColdPerSecond(desk, 10)
 	if p.IsSuspect(at(0), 1) || p.OutstandingFlows(at(0), 1) != 0 {
 		t.Error("outstanding flows or suspicion survived a restart")
 	}
@@ -368,7 +371,7 @@
 // Unreachable ones are not.
 func TestFullUpstreamsFallBackToDoubtfulNotUnreachable(t *testing.T) {
 	p := newScheduler(2)
-	p.SetUpstream(at(0), catalog.Upstream{Number: 3, Service: desk, DataCentre: "far", Slots: 2}, Open, 0)
+	p.SetUpstream(at(0), catalog.Upstream{Number: 3, Service: desk, DataCentre: "far", Slots: 2}, Open)
 	p.SetState(2, Doubtful)
 	r := Request{Service: desk, Group: AnyGroup, Bounded: true, UnreachableDataCentres: []string{"far"}}
 	seen := make(map[uint64]int)
@@ -393,7 +396,7 @@
 	p := &Scheduler{}
 	random := rand.New(rand.NewPCG(3, 4))
 	for range 120 {
-		p.SetUpstream(at(0), catalog.Upstream{Number: random.Uint64(), Service: desk, Slots: 2}, Open, 0)
+		p.SetUpstream(at(0), catalog.Upstream{Number: random.Uint64(), Service: desk, Slots: 2}, Open)
 	}
 	groups := p.Groups(desk)
 	if groups != 4 {
--- a/internal/tokenrouter/choose.go
+++ b/internal/tokenrouter/choose.go
@@ -92,7 +92,7 @@
 // majority of the fleet may: two coordinators of the same group could together
 // exceed the limit on openings at a cold upstream.
 func (rt *Router) mayUseCold(now time.Time, service string, group int) bool {
-	return now.Sub(rt.started) >= rosterSettleTime && rt.coordinator(now, service, group) == nil && rt.hearsMajority(now)
+	return group != scheduler.AnyGroup && now.Sub(rt.started) >= rosterSettleTime && rt.coordinator(now, service, group) == nil && rt.hearsMajority(now)
 }
 
 // handleNoUpstream handles an opening for which no upstream is usable: it is
--- a/internal/tokenrouter/router_test.go
+++ b/internal/tokenrouter/router_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/chervilhaven/chervilhaven/internal/catalog"
+	"github.com/chervilhaven/chervilhaven/internal/scheduler"
 	"github.com/chervilhaven/chervilhaven/pkg/flow"
 )
 
@@ -322,6 +323,37 @@
 	}
 }
 
+// A new configuration does not make upstreams cold again that have warmed up.
+func TestWarmUpstreamStaysWarmWhenConfigurationChanges(t *testing.T) {
+	w := newWorld(t, 12)
+	w.addNodes("a", 3)
+	w.configure(1)
+	u := w.addServers("a", 1, 10*time.Millisecond)[0]
+	u.info.ColdFor = 2 * time.Second
+	w.publish(u)
+	w.startAll()
+	w.advance(4 * time.Second)
+	w.configure(2)
+	w.advance(500 * time.Millisecond)
+	from := w.now
+	list := w.load(60, time.Second)
+	w.advance(1500 * time.Millisecond)
+	if n := opensSince(u, from); n < len(*list) {
+		t.Errorf("%d of %d flows opened at an upstream that is warm", n, len(*list))
+	}
+}
+
+// An instance that places a flow without the coordinator does not use cold
+// upstreams, whichever instances exist: the coordinator counts what they bear.
+func TestFlowsWithoutCoordinatorAvoidColdUpstreams(t *testing.T) {
+	w := newSmallFleet(t, 13)
+	for _, n := range w.nodes {
+		if n.router.mayUseCold(w.now, "desk", scheduler.AnyGroup) {
+			t.Errorf("%s may use cold upstreams of groups that it does not coordinate", n.name)
+		}
+	}
+}
+
 func TestStoppingInstanceIsNotReadyButStillServes(t *testing.T) {
 	w := newSmallFleet(t, 12)
 	n := w.nodes[0]
--- a/internal/tokenrouter/upstream.go
+++ b/internal/tokenrouter/upstream.go
@@ -119,17 +119,13 @@
 	if rt.routes == nil {
 		rt.observe(TimeToConfiguration, now.Sub(rt.started))
 	}
-	rt.services = make(map[string]catalog.Service, len(c.Services))
 	for _, s := range c.Services {
-		rt.services[s.Name] = s
+		rt.scheduler.SetColdPerSecond(s.Name, s.ColdPerSecond)
 	}
 	rt.routes = routeTable(c.Routes)
 	rt.log("configuration-changed", "source", source, "revision", revision(i.Revision),
 		"version", strconv.FormatUint(c.Version, 10), "routes", strconv.Itoa(len(c.Routes)),
 		"since-start", now.Sub(rt.started).String())
-	for _, u := range rt.upstreams.byNumber {
-		rt.updateScheduler(now, u)
-	}
 }
 
 func (rt *Router) applyDataCentreOut(source string, i *catalog.Item) {
@@ -157,7 +153,7 @@
 	if u.clash {
 		rt.log("token-clash", "upstream", u.key, "token", strconv.FormatUint(uint64(u.token), 16))
 	}
-	rt.updateScheduler(now, u)
+	rt.scheduler.SetUpstream(now, u.info, rt.stateOf(u))
 	rt.log("upstream-changed", "upstream", u.key, "service", u.info.Service, "address", u.info.Address.String(),
 		"draining", strconv.FormatBool(u.info.Draining), "cold", u.info.ColdFor.String(),
 		"source", source, "revision", revision(i.Revision))
@@ -182,11 +178,6 @@
 		"source", source, "revision", revision(i.Revision))
 }
 
-// updateScheduler passes the current data and state of an upstream to the scheduler.
-func (rt *Router) updateScheduler(now time.Time, u *upstream) {
-	rt.scheduler.SetUpstream(now, u.info, rt.stateOf(u), rt.services[u.info.Service].ColdPerSecond)
-}
-
 // stateOf returns whether an upstream may get new flows.
 func (rt *Router) stateOf(u *upstream) scheduler.State {
 	switch {
