Gossip between the instances of large fleets instead of heartbeats to all

Cause: each instance sent 125 heartbeats a second to all others in turn and got as many, about 16 KB a second, and a reader of the store 370. Change: above 8 peers an instance sends 24 heartbeats a second in a rotation over all, and probes one neighbour of its data centre 4 times a second. A neighbour that misses two probes is dead; deaths and joins spread as rumours (SWIM). Readers of the store are named with the age of that news. A data centre that falls silent for two average gaps is asked before it counts as cut off. Changes go out through relays, the root of the number of peers at each step. Coordinators are found from a kept ranking. Up to 9 instances all send to each other as before. Weighed: all peers with a longer period (a lost data centre is noticed later the larger the fleet is), Cyclon or HyParView (each instance has to rank all others for coordinators, so a partial view does not suffice), internal/member (needs a list of instances, probes by RPC each second), a tree by data centre (needs representatives to agree on, and loses a branch with each). A pause no longer makes a data centre count as heard that never was.

--- a/internal/tokenrouter/datacentre.go
+++ b/internal/tokenrouter/datacentre.go
@@ -1,7 +1,6 @@
 package tokenrouter
 
 import (
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -11,17 +10,26 @@
 
 const (
 	// minSilence is the shortest silence of a whole data centre after which it
-	// counts as cut off: one heartbeat interval of a small fleet plus a margin.
+	// counts as cut off in a small fleet: one heartbeat interval plus a margin.
 	minSilence = 300 * time.Millisecond
 	// minMissedMessages is the number of average message gaps that the silence of
-	// a data centre must last at least, because single datagrams get lost.
+	// a data centre must last at least in a small fleet, because single datagrams
+	// get lost.
 	minMissedMessages = 3
-	// falseAlarmProbability is the accepted probability that instances with
-	// independent heartbeat timers leave a gap this long although their data
-	// centre is reachable.
-	falseAlarmProbability = 1e-6
-	// deliveryMargin allows for network latency and busy processors.
-	deliveryMargin = 50 * time.Millisecond
+	// In a large fleet, a data centre is asked for a sign of life after a silence of
+	// probeAfterGaps average message gaps, within the limits.
+	probeAfterGaps = 2
+	minProbeAfter  = 200 * time.Millisecond
+	maxProbeAfter  = 3 * time.Second
+	// maxUnansweredChecks is the number of checks, dataCentreCheckInterval apart,
+	// that a data centre may leave unanswered before it counts as cut off.
+	maxUnansweredChecks = 3
+	// probesPerCheck is the number of instances asked in each check but the first,
+	// which asks one.
+	probesPerCheck = 2
+	// checksPerProbe is the number of checks between two probes of a data centre
+	// that is cut off.
+	checksPerProbe = 5
 	// dataCentreCheckInterval is the time between checks of the data centres.
 	dataCentreCheckInterval = 50 * time.Millisecond
 	// unreadyDelay is how long an instance must be without a reachable upstream
@@ -35,9 +43,11 @@
 // from its instances.
 type dataCentreState struct {
 	// heard is when a message from one of its instances last arrived, zero before
-	// the first. peers is the number of its instances that have sent messages.
+	// the first. peers is the number of its instances that count as live, at least 1.
 	heard time.Time
 	peers int
+	// unanswered counts the checks since the last message that found it silent.
+	unanswered int
 	// reportedAt is when an instance in the same data centre as this instance last
 	// reported the other data centre as cut off.
 	reportedAt time.Time
@@ -59,16 +69,17 @@
 	s.heard, s.peers = now, max(s.peers, 1)
 }
 
-// countPeersByDataCentre recounts the known peers of each data centre.
-func (r *roster) countPeersByDataCentre() {
-	for _, s := range r.dataCentres {
-		s.peers = 0
-	}
+// countPeersByDataCentre recounts the live peers of each data centre.
+func (r *roster) countPeersByDataCentre(now time.Time) {
+	count := make(map[string]int, len(r.dataCentres))
 	for _, p := range r.peers {
-		if s, ok := r.dataCentres[p.dataCentre]; ok && !p.heard.IsZero() {
-			s.peers++
+		if r.live(now, p) {
+			count[p.dataCentre]++
 		}
 	}
+	for name, s := range r.dataCentres {
+		s.peers = max(count[name], 1)
+	}
 }
 
 // noteReportedCuts records which data centres another instance of the same data
@@ -85,25 +96,25 @@
 }
 
 // silenceTimeout returns the silence after which a data centre with the given
-// number of instances counts as cut off. Each of n instances sends once per
-// interval, so after one message a gap of more than the share x of the interval
-// has the probability (1-x)^(n-1).
-func (r *roster) silenceTimeout(peers int) time.Duration {
-	interval := r.messageInterval(false)
-	share := 1.0
-	if peers > 1 {
-		share -= math.Pow(falseAlarmProbability, 1/float64(peers-1))
-	}
-	return max(minSilence, minMissedMessages*interval/time.Duration(peers), time.Duration(share*float64(interval))+deliveryMargin)
+// number of instances counts as cut off in a small fleet.
+func silenceTimeout(peers int) time.Duration {
+	return max(minSilence, minMissedMessages*heartbeatInterval/time.Duration(peers))
+}
+
+// probeAfter returns the silence after which a data centre with the given number of
+// instances is asked for a sign of life in a large fleet. The instances of a fleet
+// send independently, so gaps of a multiple of the average occur by chance.
+func (r *roster) probeAfter(peers int) time.Duration {
+	gap := heartbeatInterval * time.Duration(len(r.peers)) / time.Duration(roundParts*partFanout*peers)
+	return min(max(time.Duration(probeAfterGaps*float64(gap)), minProbeAfter), maxProbeAfter)
 }
 
-// findSilentDataCentres returns, sorted, the data centres from whose instances no
-// message has arrived within silenceTimeout. Data centres without known instances
-// are left out.
+// findSilentDataCentres returns, sorted, the data centres that were heard before
+// and whose instances have fallen silent.
 func (rt *Router) findSilentDataCentres(now time.Time) []string {
 	var names []string
 	for name, s := range rt.roster.dataCentres {
-		if name != rt.config.DataCentre && s.peers > 0 && now.Sub(s.heard) > rt.roster.silenceTimeout(s.peers) {
+		if name != rt.config.DataCentre && !s.heard.IsZero() && rt.isSilent(now, name, s) {
 			names = append(names, name)
 		}
 	}
@@ -111,13 +122,54 @@
 	return names
 }
 
+// isSilent reports whether a data centre counts as cut off. In a large fleet, it
+// asks some of its instances for a sign of life first.
+func (rt *Router) isSilent(now time.Time, name string, s *dataCentreState) bool {
+	silence := now.Sub(s.heard)
+	if rt.roster.mesh() {
+		return silence > silenceTimeout(s.peers)
+	}
+	if silence <= rt.roster.probeAfter(s.peers) {
+		s.unanswered = 0
+		return false
+	}
+	s.unanswered++
+	switch cut := s.unanswered > maxUnansweredChecks; {
+	case !cut:
+		rt.probeDataCentre(now, name, min(s.unanswered, probesPerCheck))
+	case s.unanswered%checksPerProbe == 0:
+		rt.probeDataCentre(now, name, 1)
+	}
+	return s.unanswered > maxUnansweredChecks
+}
+
+// probeDataCentre asks some live instances of a data centre for a sign of life.
+func (rt *Router) probeDataCentre(now time.Time, name string, count int) {
+	order := rt.ordered()
+	start, _ := slices.BinarySearchFunc(order, name, func(p *peer, name string) int { return strings.Compare(p.dataCentre, name) })
+	end := start
+	for end < len(order) && order[end].dataCentre == name {
+		end++
+	}
+	if start == end {
+		return
+	}
+	first := rt.random.IntN(end - start)
+	for i := 0; i < end-start && count > 0; i++ {
+		if p := order[start+(first+i)%(end-start)]; rt.roster.live(now, p) {
+			rt.messageTo(p).Answer = AnyMessage
+			count--
+		}
+	}
+}
+
 // findUnreachableDataCentres returns, sorted, the data centres that fell silent,
 // and those that this instance has never received a message from and that another
 // instance of its data centre reports as cut off.
 func (rt *Router) findUnreachableDataCentres(now time.Time) []string {
 	names := slices.Clone(rt.silentDataCentres)
 	for name, s := range rt.roster.dataCentres {
-		if s.heard.IsZero() && now.Sub(s.reportedAt) <= missedHeartbeats*rt.roster.roundInterval() {
+		if s.heard.IsZero() && now.Sub(s.reportedAt) <= rt.roster.readerTimeout() {
 			names = append(names, name)
 		}
 	}
--- a/internal/tokenrouter/dump.go
+++ b/internal/tokenrouter/dump.go
@@ -65,7 +65,7 @@
 	slices.Sort(d.Out)
 	for _, p := range rt.roster.peers {
 		d.Peers = append(d.Peers, PeerDump{
-			p.address.String(), p.dataCentre, rt.roster.live(now, p), p.readsStore, p.through, now.Sub(p.heard).String(),
+			p.address.String(), p.dataCentre, rt.roster.live(now, p), rt.roster.reads(now, p), p.through, now.Sub(p.heard).String(),
 		})
 	}
 	slices.SortFunc(d.Peers, func(a, b PeerDump) int { return strings.Compare(a.Address, b.Address) })
--- a/internal/tokenrouter/event.go
+++ b/internal/tokenrouter/event.go
@@ -90,13 +90,20 @@
 	Through catalog.Revision
 	// Reads is true while the sender reads the platform's store successfully.
 	Reads bool
-	// Hello requests an immediate answer.
+	// Hello announces that the sender has just started. It requests an answer with
+	// Peers.
 	Hello bool
+	// Answer is what the sender asks the receiver to send at once.
+	Answer Answer
 	// CutOff lists the data centres that the sender received messages from before
 	// and no longer does.
 	CutOff []string
-	// Peers lists addresses of other instances known to the sender.
-	Peers []netip.AddrPort
+	// Peers is what the sender knows of some other instances, by data centre.
+	Peers []PeerGroup
+	// Readers lists other instances that read the platform's store.
+	Readers []Reader
+	// Relay lists instances to which the receiver passes News on.
+	Relay []netip.AddrPort
 	// News holds catalog changes that the receiver may not have yet.
 	News    *catalog.Batch
 	Asks    []Ask
@@ -104,6 +111,40 @@
 	Reports []Report
 }
 
+// Answer is the kind of an answer that a message requests.
+type Answer uint8
+
+// Kinds of answers.
+const (
+	NoAnswer Answer = iota
+	// AnyMessage shows that the receiver is alive.
+	AnyMessage
+	// PeersMessage names many of the instances that the receiver knows.
+	PeersMessage
+)
+
+// PeerGroup lists instances of one data centre.
+type PeerGroup struct {
+	DataCentre string
+	Peers      []PeerState
+}
+
+// PeerState is what an instance knows of another one.
+type PeerState struct {
+	Address netip.AddrPort
+	// Age is the time since the instance was last known to be alive or, if Dead,
+	// since a neighbour found it dead.
+	Age  time.Duration
+	Dead bool
+}
+
+// Reader is an instance that reads the platform's store. Age is the time since it
+// last said so.
+type Reader struct {
+	Address netip.AddrPort
+	Age     time.Duration
+}
+
 // Ask requests an upstream for a new flow from the coordinator of a group of
 // upstreams.
 type Ask struct {
--- a/internal/tokenrouter/roster.go
+++ b/internal/tokenrouter/roster.go
@@ -1,134 +1,166 @@
 package tokenrouter
 
 import (
+	"cmp"
 	"encoding/binary"
+	"math/bits"
 	"net/netip"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/zeebo/xxh3"
 )
 
-// Limits and intervals of messages between instances.
 const (
-	// heartbeatInterval is the time between two messages to the same peer in a
-	// small fleet. A reader of the store has to be replaced within four of them.
-	heartbeatInterval = 250 * time.Millisecond
-	// heartbeatSpacing limits the rate of heartbeats: 125 a second use about one
-	// percent of the smallest instance's processor.
-	heartbeatSpacing = 8 * time.Millisecond
-	// heartbeatFanout limits the number of peers that get a heartbeat in one
-	// round.
-	heartbeatFanout = 100
-	// partInterval is the time between the parts into which a round longer than
-	// heartbeatInterval is split: a third of the silence after which a data
-	// centre counts as cut off.
-	partInterval = 100 * time.Millisecond
+	// meshPeers is the number of peers up to which all instances send heartbeats to
+	// each other in every round. Larger fleets gossip.
+	meshPeers = 8
 	// missedHeartbeats is the number of missed heartbeats after which a peer
-	// counts as dead. A single datagram may get lost.
+	// counts as dead in a small fleet. A single datagram may get lost.
 	missedHeartbeats = 3
 	// maxMissedAsks is the number of consecutive unanswered Asks after which a
 	// peer is no longer used as coordinator, until it sends a Grant or a message
 	// without Asks.
 	maxMissedAsks = 2
-	// helloInterval is the time between hello messages to the seeds until one
-	// answers. All instances may start at once, and the seeds last.
-	helloInterval = 25 * time.Millisecond
-	// peerRetention is how long a silent peer is still contacted. A restart takes
-	// a few seconds, a network partition longer.
-	peerRetention = 2 * time.Minute
-	// peersPerMessage is the number of other peers named in a heartbeat.
-	peersPerMessage = 6
-	// peersPerHelloAnswer is the number of peers named in the answer to a hello.
-	peersPerHelloAnswer = 32
-	// maxTickInterval is the longest time between two Ticks.
-	maxTickInterval = 250 * time.Millisecond
+	// minPeerRetention is how long a peer without a sign of life is still contacted
+	// at least. A restart takes a few seconds, a network partition longer. In a very
+	// large fleet it is retainedCycles times the time in which an instance sends a
+	// heartbeat to all others.
+	minPeerRetention = 2 * time.Minute
+	retainedCycles   = 4
+	// reviveMargin is how much later than its death an instance must have been
+	// alive to count as live again by the word of others: ages grow by the time
+	// that messages take.
+	reviveMargin = 500 * time.Millisecond
+	// rankedPerGroup is the number of candidates for coordinator that are kept for
+	// each group of upstreams.
+	rankedPerGroup = 16
+	// sweepInterval is the time between removals of expired peers, upstreams and
+	// assignments.
+	sweepInterval = time.Second
 )
 
 // roster holds the other instances of the fleet.
 type roster struct {
 	peers map[netip.AddrPort]*peer
+	// version counts the changes of the set of peers. order holds the peers by data
+	// centre, in random order inside each, as of orderVersion.
+	version      uint64
+	order        []*peer
+	orderVersion uint64
+	// ranked holds the candidates for coordinator of each group.
+	ranked map[group]ranking
 	// dataCentres holds the reachability of data centres by name.
 	dataCentres map[string]*dataCentreState
-	// next is when the next part of a heartbeat round is due.
-	next time.Time
-	// part counts the parts of rounds sent so far.
-	part uint64
-	// heard is true once a message from any peer has arrived.
-	heard bool
-	// lastNewPeer is when a message last came from a peer for the first time.
+	// next is when the next heartbeats are due, nextProbe the next probe of a
+	// neighbour, nextSweep the next sweep.
+	next      time.Time
+	nextProbe time.Time
+	nextSweep time.Time
+	// rotation holds the peers that are still to get a heartbeat in this cycle,
+	// probes the peers of the same data centre that are still to be probed.
+	rotation []*peer
+	probes   []*peer
+	// probed is the neighbour that was probed at probedAt, nil for none.
+	probed   *peer
+	probedAt time.Time
+	rumours  []rumour
+	// readers are the peers that were recently known to read the store.
+	readers []*peer
+	// greeted counts the peers that got a hello because another peer named them.
+	greeted int
+	// heard is true once a message from any peer has arrived, lastHeard is when
+	// the last one did.
+	heard     bool
+	lastHeard time.Time
+	// lastNewPeer is when a peer was last heard of for the first time.
 	lastNewPeer time.Time
 	// lastJoin is when an instance last joined, for the first time or after a
 	// restart or outage.
 	lastJoin time.Time
+	// relays are the changes to pass on once this catalog contains them.
+	relays []relay
 	// outbox collects the messages of one Apply call, one for each peer.
 	outbox []outgoing
 }
 
-type outgoing struct {
-	peer    *peer
-	message *Message
+// ranking lists the highest ranked instances for a group of upstreams as of a
+// version of the roster.
+type ranking struct {
+	version uint64
+	peers   []*peer
 }
 
 // peer is the state of another instance.
 type peer struct {
 	address    netip.AddrPort
 	dataCentre string
-	// heard is when its last message arrived, zero before the first. lastNamed is
-	// when another instance last named it.
-	heard      time.Time
-	lastNamed  time.Time
-	leaving    bool
-	readsStore bool
+	// heard is when its last message arrived, zero before the first.
+	heard time.Time
+	// alive is the latest time at which it was known to be alive, by its own
+	// messages or those of others. dead is when a neighbour last found it dead.
+	alive   time.Time
+	dead    time.Time
+	leaving bool
+	// readAt is the latest time at which it was known to read the store, quitAt
+	// when it last said that it does not.
+	readAt time.Time
+	quitAt time.Time
 	// through is the revision up to which its catalog is complete.
 	through uint64
 	// fetchFailedAt is when a fetch from it last failed.
 	fetchFailedAt time.Time
-	// missedAsks counts consecutive unanswered Asks.
-	missedAsks int
+	// missedAsks counts consecutive unanswered Asks, missedProbes consecutive
+	// unanswered probes.
+	missedAsks   int
+	missedProbes int
 	// rank is its rank for reading the store, see rankOf.
 	rank uint64
-	// partOffset is a random number that selects the part of a round in which the
-	// peer gets its heartbeat.
-	partOffset uint64
 }
 
-// heartbeatDue reports whether the next part of a heartbeat round is due.
-func (r *roster) heartbeatDue(now time.Time) bool { return !now.Before(r.next) }
+// mesh reports whether the fleet is so small that all instances send heartbeats
+// to each other in every round.
+func (r *roster) mesh() bool { return len(r.peers) <= meshPeers }
 
-// roundInterval is the duration of a heartbeat round, in which up to
-// heartbeatFanout peers get a message.
-func (r *roster) roundInterval() time.Duration {
-	return max(heartbeatInterval, time.Duration(min(len(r.peers), heartbeatFanout))*heartbeatSpacing)
+// live reports whether a peer counts as alive: in a small fleet by its own
+// heartbeats, in a large one until a neighbour has found it dead.
+func (r *roster) live(now time.Time, p *peer) bool {
+	if r.mesh() {
+		return !p.heard.IsZero() && now.Sub(p.heard) <= missedHeartbeats*heartbeatInterval
+	}
+	return !p.alive.IsZero() && p.alive.After(p.dead) && now.Sub(p.alive) <= r.peerRetention()
 }
 
-// roundsPerPeer is the number of rounds in which each peer gets one heartbeat.
-func (r *roster) roundsPerPeer() int { return max(1, (len(r.peers)+heartbeatFanout-1)/heartbeatFanout) }
+// peerRetention is how long a peer without a sign of life is still contacted.
+func (r *roster) peerRetention() time.Duration {
+	cycle := heartbeatInterval * time.Duration(len(r.peers)) / (roundParts * partFanout)
+	return max(minPeerRetention, retainedCycles*cycle)
+}
 
-// partsPerRound is the number of parts of a round. Without them, the instances
-// of a fleet that started at once would all send at the same time and be silent
-// in between.
-func (r *roster) partsPerRound() int {
-	if r.roundInterval() == heartbeatInterval {
-		return 1
-	}
-	return int((r.roundInterval() + partInterval - 1) / partInterval)
+// reads reports whether a peer reads the platform's store, as far as is known.
+func (r *roster) reads(now time.Time, p *peer) bool {
+	return !p.readAt.IsZero() && now.Sub(p.readAt) <= r.readerTimeout()
 }
 
-// messageInterval is the time between two heartbeats from the same peer. Readers
-// of the store send to all peers in every round, so that their failure is
-// noticed soon.
-func (r *roster) messageInterval(reads bool) time.Duration {
-	if reads {
-		return r.roundInterval()
+// noteReader records that a peer read the store at a time.
+func (r *roster) noteReader(p *peer, at time.Time) {
+	p.readAt = at
+	if !slices.Contains(r.readers, p) {
+		r.readers = append(r.readers, p)
 	}
-	return r.roundInterval() * time.Duration(r.roundsPerPeer())
 }
 
-// live reports whether a message from the peer arrived recently enough.
-func (r *roster) live(now time.Time, p *peer) bool {
-	return !p.heard.IsZero() && now.Sub(p.heard) <= missedHeartbeats*r.messageInterval(p.readsStore)
+// readerTimeout is the time without news of a reader after which it counts as
+// failed: the silence allowed to a direct neighbour and the rounds in which
+// gossip reaches all others, as each round multiplies those who know.
+func (r *roster) readerTimeout() time.Duration {
+	rounds := missedHeartbeats
+	if !r.mesh() {
+		rounds += (bits.Len(uint(len(r.peers))) + 1) / 2
+	}
+	return time.Duration(rounds) * heartbeatInterval
 }
 
 // addPeer returns the peer at an address and creates it if necessary. It returns
@@ -139,57 +171,25 @@
 	}
 	p, ok := rt.roster.peers[address]
 	if !ok {
-		p = &peer{address: address, rank: rankOf(address, "", 0), partOffset: rt.random.Uint64()}
+		p = &peer{address: address, rank: rankOf(address, "", 0)}
 		rt.roster.peers[address] = p
+		rt.roster.version++
 	}
 	return p
 }
 
-// rankOf returns the rank of an instance for a group of upstreams, or for
-// reading the store if service is empty. All instances compute the same rank
-// (rendezvous hashing).
-func rankOf(address netip.AddrPort, service string, group int) uint64 {
-	b := make([]byte, 0, 64)
-	b, _ = address.AppendBinary(b)
-	b = append(b, service...)
-	b = binary.BigEndian.AppendUint32(b, uint32(group))
-	return xxh3.Hash(b)
-}
-
-// sendHelloToSeeds sends a hello to the seeds, which answer at once and name
-// other instances.
-func (rt *Router) sendHelloToSeeds() {
-	for _, s := range rt.config.Seeds {
-		if p := rt.addPeer(s); p != nil {
-			rt.messageTo(p).Hello = true
-		}
-	}
-}
-
-// heartbeat sends a message to the peers of the current part, or to all peers if
-// urgent, and drops peers, removed upstreams and assignments that have expired.
-func (rt *Router) heartbeat(now time.Time, urgent bool) {
+// sweep drops peers, removed upstreams and assignments that have expired.
+func (rt *Router) sweep(now time.Time) {
 	r := &rt.roster
-	parts := r.partsPerRound()
-	r.next = now.Add(r.roundInterval() / time.Duration(parts))
-	if !r.heard {
-		r.next, urgent = now.Add(helloInterval), true
-		rt.sendHelloToSeeds()
-	}
-	if !rt.reader.readsStore {
-		parts *= r.roundsPerPeer()
-	}
-	r.part++
+	r.nextSweep = now.Add(sweepInterval)
 	for address, p := range r.peers {
-		if now.Sub(latest(p.heard, p.lastNamed)) > peerRetention && !slices.Contains(rt.config.Seeds, address) {
+		if now.Sub(p.alive) > r.peerRetention() && !slices.Contains(rt.config.Seeds, address) {
 			delete(r.peers, address)
-			continue
-		}
-		if urgent || (r.part+p.partOffset)%uint64(parts) == 0 {
-			rt.messageTo(p)
+			r.version++
 		}
 	}
-	r.countPeersByDataCentre()
+	r.readers = slices.DeleteFunc(r.readers, func(p *peer) bool { return !r.reads(now, p) })
+	r.countPeersByDataCentre(now)
 	rt.purgeGone(now)
 	rt.expireAssignments(now)
 }
@@ -202,136 +202,121 @@
 	return b
 }
 
-// messageTo returns the message that is sent to the peer at the end of the
-// current Apply call.
-func (rt *Router) messageTo(p *peer) *Message {
-	for _, o := range rt.roster.outbox {
-		if o.peer == p {
-			return o.message
-		}
+// ordered returns all peers by data centre, in random order inside each. The
+// caller must not keep the result.
+func (rt *Router) ordered() []*peer {
+	r := &rt.roster
+	if r.orderVersion == r.version {
+		return r.order
 	}
-	m := &Message{}
-	rt.roster.outbox = append(rt.roster.outbox, outgoing{p, m})
-	return m
-}
-
-// sendMessages emits the messages in the outbox.
-func (rt *Router) sendMessages() {
-	for _, o := range rt.roster.outbox {
-		m := o.message
-		m.DataCentre, m.Leaving = rt.config.DataCentre, rt.stopping
-		m.Through, m.Reads, m.CutOff = rt.catalog.Through(), rt.reader.readsStore, rt.silentDataCentres
-		rt.attachReports(o.peer, m)
-		if m.Asks == nil && m.Grants == nil && m.Peers == nil {
-			m.Peers = rt.samplePeers(o.peer, peersPerMessage)
-		}
-		rt.emit(Effect{Kind: SendMessage, Peer: o.peer.address, Message: m})
+	r.orderVersion, r.order = r.version, r.order[:0]
+	for _, p := range r.peers {
+		r.order = append(r.order, p)
 	}
-	rt.roster.outbox = rt.roster.outbox[:0]
+	slices.SortFunc(r.order, func(a, b *peer) int { return a.address.Compare(b.address) })
+	rt.random.Shuffle(len(r.order), func(i, j int) { r.order[i], r.order[j] = r.order[j], r.order[i] })
+	slices.SortStableFunc(r.order, func(a, b *peer) int { return strings.Compare(a.dataCentre, b.dataCentre) })
+	return r.order
 }
 
-// samplePeers returns up to count peers, other than the receiver, that have sent
-// a message to this instance.
-func (rt *Router) samplePeers(to *peer, count int) []netip.AddrPort {
-	list := make([]netip.AddrPort, 0, count)
-	for _, p := range rt.roster.peers {
-		if len(list) == count {
-			break
-		}
-		if p != to && !p.heard.IsZero() {
-			list = append(list, p.address)
-		}
-	}
-	return list
+// rankOf returns the rank of an instance for a group of upstreams, or for
+// reading the store if service is empty. All instances compute the same rank
+// (rendezvous hashing).
+func rankOf(address netip.AddrPort, service string, group int) uint64 {
+	b := make([]byte, 0, 64)
+	b, _ = address.AppendBinary(b)
+	b = append(b, service...)
+	b = binary.BigEndian.AppendUint32(b, uint32(group))
+	return xxh3.Hash(b)
 }
 
-// handleMessage processes a message from another instance.
-func (rt *Router) handleMessage(now time.Time, from netip.AddrPort, m *Message) {
-	p := rt.addPeer(from)
-	if p == nil {
-		return
-	}
-	live := rt.roster.live(now, p)
-	if m.Hello || !live {
-		rt.roster.lastJoin = now
-	}
-	if !live {
-		rt.log("peer-heard", "peer", from.String(), "data-centre", m.DataCentre, "peers", strconv.Itoa(len(rt.roster.peers)))
-	}
-	if rt.roster.heard = true; p.heard.IsZero() {
-		rt.roster.lastNewPeer = now
-	}
-	p.heard, p.dataCentre, p.leaving, p.readsStore = now, m.DataCentre, m.Leaving, m.Reads
-	p.through = uint64(m.Through)
-	rt.reader.maxRevision = max(rt.reader.maxRevision, m.Through)
-	rt.roster.noteHeard(now, m.DataCentre)
-	rt.noteReportedCuts(now, m)
-	if m.Asks == nil {
-		p.missedAsks = 0
-	}
-	rt.sendHelloToNewPeers(now, m.Peers)
-	if m.Hello {
-		rt.messageTo(p).Peers = rt.samplePeers(p, peersPerHelloAnswer)
+// candidates returns the highest ranked instances for a group of upstreams, best
+// first. This instance is nil among them.
+func (rt *Router) candidates(g group) []*peer {
+	r := &rt.roster
+	if c, ok := r.ranked[g]; ok && c.version == r.version {
+		return c.peers
 	}
-	if m.News != nil {
-		rt.handleChanges(now, p, m.News)
+	type entry struct {
+		peer *peer
+		rank uint64
 	}
-	for i := range m.Reports {
-		rt.handleReport(now, p, &m.Reports[i])
+	list := make([]entry, 0, len(r.peers)+1)
+	list = append(list, entry{nil, rankOf(rt.config.Self, g.service, g.number)})
+	for _, p := range r.peers {
+		list = append(list, entry{p, rankOf(p.address, g.service, g.number)})
 	}
-	for i := range m.Asks {
-		rt.handleAsk(now, p, &m.Asks[i])
+	slices.SortFunc(list, func(a, b entry) int { return cmp.Compare(b.rank, a.rank) })
+	peers := make([]*peer, 0, rankedPerGroup)
+	for _, e := range list[:min(rankedPerGroup, len(list))] {
+		peers = append(peers, e.peer)
 	}
-	for i := range m.Grants {
-		rt.handleGrant(now, p, &m.Grants[i])
+	if r.ranked == nil {
+		r.ranked = make(map[group]ranking)
 	}
+	r.ranked[g] = ranking{r.version, peers}
+	return peers
 }
 
-// sendHelloToNewPeers sends a hello to instances that a message named and that
-// were unknown so far.
-func (rt *Router) sendHelloToNewPeers(now time.Time, addresses []netip.AddrPort) {
-	for _, a := range addresses {
-		if q, ok := rt.roster.peers[a]; ok {
-			q.lastNamed = now
-		} else if q := rt.addPeer(a); q != nil {
-			q.lastNamed = now
-			rt.messageTo(q).Hello = true
+// coordinator returns the live instance that places new flows at a group of
+// upstreams and counts them, nil if it is this instance. Log lines and dumps
+// call it the accountant.
+func (rt *Router) coordinator(now time.Time, service string, number int) *peer {
+	for _, p := range rt.candidates(group{service, number}) {
+		if p == nil && !rt.stopping {
+			return nil
+		}
+		if p != nil && rt.mayCoordinate(now, p) {
+			return p
 		}
 	}
+	return rt.bestCoordinator(now, service, number)
 }
 
-// coordinator returns the live instance that places new flows at a group of
-// upstreams and counts them, nil if it is this instance. Log lines and dumps
-// call it the accountant.
-func (rt *Router) coordinator(now time.Time, service string, group int) *peer {
+// bestCoordinator searches all peers for the coordinator of a group, for when
+// none of its candidates is usable.
+func (rt *Router) bestCoordinator(now time.Time, service string, number int) *peer {
 	var best *peer
 	var highest uint64
 	if !rt.stopping {
-		highest = rankOf(rt.config.Self, service, group)
+		highest = rankOf(rt.config.Self, service, number)
 	}
 	for _, p := range rt.roster.peers {
-		if p.leaving || p.missedAsks >= maxMissedAsks || !rt.roster.live(now, p) || slices.Contains(rt.cutOff, p.dataCentre) {
+		if !rt.mayCoordinate(now, p) {
 			continue
 		}
-		if r := rankOf(p.address, service, group); r > highest {
+		if r := rankOf(p.address, service, number); r > highest {
 			best, highest = p, r
 		}
 	}
 	return best
 }
 
-// hearsMajority reports whether more than half of the recently known instances
-// are live, so that this instance is not in the minority of a partition.
+// mayCoordinate reports whether a peer is usable as coordinator.
+func (rt *Router) mayCoordinate(now time.Time, p *peer) bool {
+	return !p.leaving && p.missedAsks < maxMissedAsks && rt.roster.live(now, p) && !slices.Contains(rt.cutOff, p.dataCentre)
+}
+
+// hearsMajority reports whether this instance can reach more than half of the
+// recently known instances, so that it is not in the minority of a partition.
 func (rt *Router) hearsMajority(now time.Time) bool {
-	live, known := 1, 1
+	reached, known := 1, 1
 	for _, p := range rt.roster.peers {
-		if p.heard.IsZero() || now.Sub(p.heard) > fleetSizeWindow {
-			continue
-		}
-		known++
-		if rt.roster.live(now, p) {
-			live++
+		cut := slices.Contains(rt.cutOff, p.dataCentre)
+		live := rt.roster.live(now, p)
+		switch {
+		case p.alive.IsZero():
+		case live && !cut:
+			reached++
+			known++
+		case cut || now.Sub(p.alive) <= fleetSizeWindow:
+			known++
 		}
 	}
-	return 2*live > known
+	return 2*reached > known
+}
+
+// logHeard logs that a peer has joined.
+func (rt *Router) logHeard(p *peer) {
+	rt.log("peer-heard", "peer", p.address.String(), "data-centre", p.dataCentre, "peers", strconv.Itoa(len(rt.roster.peers)))
 }
--- a/internal/tokenrouter/router.go
+++ b/internal/tokenrouter/router.go
@@ -30,6 +30,9 @@
 	// FlowLifetime is the age at which a flow may be discarded. State of removed
 	// upstreams is kept for that long, and for one minute at least.
 	FlowLifetime time.Duration
+	// SlowLink makes the instance leave the first read of the store to others for a
+	// moment, as a whole read over its link takes longer than a fetch from a peer.
+	SlowLink bool
 }
 
 // Router is the state machine of one instance. It is not safe for concurrent use.
@@ -42,7 +45,6 @@
 	scheduler scheduler.Scheduler
 	upstreams upstreamTable
 	routes    map[netip.AddrPort]catalog.Route
-	services  map[string]catalog.Service
 	// out holds the names of the data centres that operators took out of service.
 	// Their upstreams get no new flows.
 	out                 map[string]bool
@@ -138,7 +140,7 @@
 // tick runs all timers that have expired and sets the time of the next Tick.
 func (rt *Router) tick(now time.Time) {
 	rt.next = now.Add(maxTickInterval)
-	if rt.roster.heartbeatDue(now) {
+	if !now.Before(rt.roster.next) {
 		rt.heartbeat(now, false)
 	}
 	if !now.Before(rt.nextDataCentreCheck) {
@@ -149,6 +151,7 @@
 	rt.expireDoubtful(now)
 	rt.readIfDue(now)
 	rt.fetchIfDue(now)
+	rt.relayIfDue(now)
 	rt.serveQueue(now)
 	rt.expireOpenings(now)
 	rt.scheduleTick(rt.roster.next)
@@ -169,17 +172,26 @@
 // It drops pending openings without an answer to their callers.
 func (rt *Router) handlePause(now time.Time, gap time.Duration) {
 	for _, p := range rt.roster.peers {
-		p.heard = p.heard.Add(gap)
+		p.heard, p.alive, p.readAt = shift(p.heard, gap), shift(p.alive, gap), shift(p.readAt, gap)
 	}
 	for _, s := range rt.roster.dataCentres {
-		s.heard = now
+		s.heard = shift(s.heard, gap)
 	}
+	rt.roster.probed = nil
 	clear(rt.openings.flows)
 	clear(rt.openings.pendingAsks)
 	rt.log("woke", "gap", gap.String())
 	rt.heartbeat(now, true)
 }
 
+// shift moves a time by the length of a pause. The zero time, for never, stays.
+func shift(t time.Time, gap time.Duration) time.Time {
+	if t.IsZero() {
+		return t
+	}
+	return t.Add(gap)
+}
+
 func (rt *Router) emit(f Effect) { rt.effects = append(rt.effects, f) }
 
 func (rt *Router) observe(o DurationMetric, took time.Duration) {
--- a/internal/tokenrouter/sync.go
+++ b/internal/tokenrouter/sync.go
@@ -1,6 +1,7 @@
 package tokenrouter
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -24,6 +25,11 @@
 	// because the store or the link may be slow.
 	fullReadTimeout    = 600 * time.Millisecond
 	maxFullReadTimeout = 4 * fullReadTimeout
+	// minFirstReadDelay and maxFirstReadDelay limit the time for which an instance
+	// with a slow link waits after its start for a peer that has the catalog. All
+	// instances may start within 0.3 s, those with the seeds' addresses last.
+	minFirstReadDelay = 300 * time.Millisecond
+	maxFirstReadDelay = 600 * time.Millisecond
 	// minReadInterval is the time between reads while changes arrive quickly.
 	// Reads are charged for, and the tightest limit on the delay of a change is 3
 	// s.
@@ -69,6 +75,9 @@
 	failures int
 	// fullReadNeeded makes the next read a full one.
 	fullReadNeeded bool
+	// firstReadDelay is how long an instance with a slow link waits before its first
+	// read, zero before it is drawn.
+	firstReadDelay time.Duration
 	// shortageSince is the time since which too few other instances read the
 	// store.
 	shortageSince time.Time
@@ -110,9 +119,9 @@
 func (rt *Router) shouldRead(now time.Time) bool {
 	r := &rt.reader
 	if rt.catalog.Through() == 0 {
-		return true
+		return !rt.leavesFirstRead(now)
 	}
-	active, idle := rt.otherReaders(now)
+	active, idle := rt.activeReaders(now), rt.idleReaders(now)
 	switch {
 	case active >= readerCount, rt.stopping && active > 0:
 		r.shortageSince = time.Time{}
@@ -125,34 +134,58 @@
 	return now.Sub(r.shortageSince) >= time.Duration(min(idle, maxStaggeredReaders))*readerStagger
 }
 
-// otherReaders counts the live peers that read the store and take precedence
-// over this instance, and the higher ranked live peers that do not read. While
-// this instance does not read, every reader takes precedence, whatever its rank.
-func (rt *Router) otherReaders(now time.Time) (active, idle int) {
+// leavesFirstRead reports whether this instance still waits for a peer from which
+// to fetch the catalog. If all instances of a large fleet read the whole store at
+// once, its link is full and none of them finishes in time.
+func (rt *Router) leavesFirstRead(now time.Time) bool {
+	if !rt.config.SlowLink {
+		return false
+	}
+	if rt.reader.firstReadDelay == 0 {
+		rt.reader.firstReadDelay = minFirstReadDelay + time.Duration(rt.random.Int64N(int64(maxFirstReadDelay-minFirstReadDelay)))
+	}
+	return rt.reader.fetching || now.Sub(rt.started) < rt.reader.firstReadDelay
+}
+
+// activeReaders counts the live peers that read the store and take precedence over
+// this instance. While this instance does not read, every reader takes precedence,
+// whatever its rank.
+func (rt *Router) activeReaders(now time.Time) int {
 	self := rankOf(rt.config.Self, "", 0)
-	for _, p := range rt.roster.peers {
-		switch {
-		case p.leaving || !rt.roster.live(now, p):
-		case p.readsStore && (p.rank > self || !rt.reader.readsStore):
+	active := 0
+	for _, p := range rt.roster.readers {
+		if rt.mayRead(now, p) && rt.roster.reads(now, p) && (p.rank > self || !rt.reader.readsStore) {
 			active++
-		case !p.readsStore && p.rank > self:
+		}
+	}
+	return active
+}
+
+// idleReaders counts the live peers that do not read the store although they rank
+// higher than this instance, up to the number that it waits for.
+func (rt *Router) idleReaders(now time.Time) int {
+	idle := 0
+	for _, p := range rt.candidates(group{}) {
+		if p == nil {
+			break
+		}
+		if rt.mayRead(now, p) && !rt.roster.reads(now, p) {
 			idle++
 		}
 	}
-	return active, idle
+	return idle
 }
 
+func (rt *Router) mayRead(now time.Time, p *peer) bool { return !p.leaving && rt.roster.live(now, p) }
+
 // catalogFresh reports whether this instance or a live peer reads the store.
 func (rt *Router) catalogFresh(now time.Time) bool {
 	if rt.reader.readsStore {
 		return true
 	}
-	for _, p := range rt.roster.peers {
-		if p.readsStore && rt.roster.live(now, p) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(rt.roster.readers, func(p *peer) bool {
+		return rt.roster.reads(now, p) && rt.roster.live(now, p)
+	})
 }
 
 // SourceAges returns the time since the last answer of the store (key "store")
@@ -191,22 +224,24 @@
 	rt.applyItems(now, "store", changed)
 	if rt.catalog.Through() > through {
 		r.next = now.Add(minReadInterval)
-		rt.broadcastChanges(changed, &v.Batch)
+		rt.broadcastChanges(now, changed, &v.Batch)
 	}
 }
 
 // broadcastChanges informs all peers that are behind. Changes that do not fit
-// into a datagram are left for them to fetch.
-func (rt *Router) broadcastChanges(changed []catalog.Item, b *catalog.Batch) {
+// into a datagram are left for them to fetch. Those of the same data centre learn of
+// a whole read directly: they may be waiting for it to start.
+func (rt *Router) broadcastChanges(now time.Time, changed []catalog.Item, b *catalog.Batch) {
 	changes := &catalog.Batch{Items: changed, Since: b.Since, Through: b.Through}
 	if b.Snapshot || len(changed) > maxDatagramItems {
 		changes = nil
 	}
-	for _, p := range rt.roster.peers {
-		if p.through < uint64(b.Through) {
-			rt.messageTo(p).News = changes
+	if b.Snapshot {
+		for _, p := range rt.stalePeers(now, rt.config.DataCentre) {
+			rt.messageTo(p)
 		}
 	}
+	rt.spreadChanges(now, rt.stalePeers(now, ""), changes)
 }
 
 func (rt *Router) handleStoreFailure(now time.Time, v *StoreFailed) {
@@ -302,12 +337,8 @@
 // notifyNeighbours sends a message with the revision of this catalog to the
 // instances of the same data centre whose catalog is older. They may be waiting
 // to fetch from this instance.
-func (rt *Router) notifyNeighbours() {
-	for _, p := range rt.roster.peers {
-		if p.dataCentre == rt.config.DataCentre && p.through < uint64(rt.catalog.Through()) {
-			rt.messageTo(p)
-		}
-	}
+func (rt *Router) notifyNeighbours(now time.Time) {
+	rt.spreadChanges(now, rt.stalePeers(now, rt.config.DataCentre), nil)
 }
 
 // handleFetchFailure excludes a peer that did not answer from fetches for
@@ -326,6 +357,6 @@
 	changed, _ := rt.catalog.Apply(now, v.Batch)
 	rt.applyItems(now, v.From.String(), changed)
 	if from, ok := rt.roster.peers[v.From]; ok && from.dataCentre != rt.config.DataCentre {
-		rt.notifyNeighbours()
+		rt.notifyNeighbours(now)
 	}
 }
--- a/internal/tokenserver/convert.go
+++ b/internal/tokenserver/convert.go
@@ -27,13 +27,58 @@
 	return netip.AddrPortFrom(netip.AddrFrom4(b), uint16(port))
 }
 
+// packAddress returns an IPv4 address with its port in the lowest 16 bits.
+func packAddress(a netip.AddrPort) uint64 {
+	ip, port := addressToProto(a)
+	return uint64(ip)<<16 | uint64(port)
+}
+
+func unpackAddress(packed uint64) netip.AddrPort {
+	return addressFromProto(uint32(packed>>16), uint32(packed&0xffff))
+}
+
+// answerFromProto returns NoAnswer for kinds that this version does not know.
+func answerFromProto(kind uint32) tokenrouter.Answer {
+	if kind > uint32(tokenrouter.PeersMessage) {
+		return tokenrouter.NoAnswer
+	}
+	return tokenrouter.Answer(kind)
+}
+
+func peerGroupToProto(g *tokenrouter.PeerGroup) *edgev1.PeerGroup {
+	p := &edgev1.PeerGroup{DataCentre: g.DataCentre}
+	for _, s := range g.Peers {
+		state := 2 * milliseconds(s.Age)
+		if s.Dead {
+			state++
+		}
+		p.Addresses, p.States = append(p.Addresses, packAddress(s.Address)), append(p.States, state)
+	}
+	return p
+}
+
+// peerGroupFromProto leaves out addresses without a state.
+func peerGroupFromProto(p *edgev1.PeerGroup) tokenrouter.PeerGroup {
+	g := tokenrouter.PeerGroup{DataCentre: p.GetDataCentre()}
+	states := p.GetStates()
+	for i, a := range p.GetAddresses()[:min(len(p.GetAddresses()), len(states))] {
+		g.Peers = append(g.Peers, tokenrouter.PeerState{Address: unpackAddress(a), Age: duration(states[i] / 2), Dead: states[i]%2 == 1})
+	}
+	return g
+}
+
 func messageToProto(m *tokenrouter.Message) *edgev1.Message {
 	p := &edgev1.Message{
-		DataCentre: m.DataCentre, Leaving: m.Leaving, Through: uint64(m.Through), Reads: m.Reads, Hello: m.Hello, CutOff: m.CutOff,
+		DataCentre: m.DataCentre, Leaving: m.Leaving, Through: uint64(m.Through), Reads: m.Reads, Hello: m.Hello, Answer: uint32(m.Answer), CutOff: m.CutOff,
 	}
-	for _, a := range m.Peers {
-		ip, port := addressToProto(a)
-		p.Peers = append(p.Peers, &edgev1.Peer{Address: ip, Port: port})
+	for i := range m.Peers {
+		p.Peers = append(p.Peers, peerGroupToProto(&m.Peers[i]))
+	}
+	for _, r := range m.Readers {
+		p.Readers = append(p.Readers, &edgev1.Reader{Address: packAddress(r.Address), AgeMs: milliseconds(r.Age)})
+	}
+	for _, a := range m.Relay {
+		p.Relay = append(p.Relay, packAddress(a))
 	}
 	if m.News != nil {
 		p.News = batchToProto(m.News)
@@ -58,10 +103,16 @@
 func messageFromProto(p *edgev1.Message) *tokenrouter.Message {
 	m := &tokenrouter.Message{
 		DataCentre: p.GetDataCentre(), Leaving: p.GetLeaving(), Through: catalog.Revision(p.GetThrough()),
-		Reads: p.GetReads(), Hello: p.GetHello(), CutOff: p.GetCutOff(),
+		Reads: p.GetReads(), Hello: p.GetHello(), Answer: answerFromProto(p.GetAnswer()), CutOff: p.GetCutOff(),
+	}
+	for _, g := range p.GetPeers() {
+		m.Peers = append(m.Peers, peerGroupFromProto(g))
+	}
+	for _, r := range p.GetReaders() {
+		m.Readers = append(m.Readers, tokenrouter.Reader{Address: unpackAddress(r.GetAddress()), Age: duration(r.GetAgeMs())})
 	}
-	for _, a := range p.GetPeers() {
-		m.Peers = append(m.Peers, addressFromProto(a.GetAddress(), a.GetPort()))
+	for _, a := range p.GetRelay() {
+		m.Relay = append(m.Relay, unpackAddress(a))
 	}
 	if p.GetNews() != nil {
 		b := batchFromProto(p.GetNews())
