Contain panics that one packet or message causes, and refuse datagrams that no instance sent

Here a panic of the codec or the state machine ended the process. It is now logged with its stack and counted (chervilhaven_edge_panics_total), the event is dropped. A well-formed datagram of another program, an empty one for example, made a peer without a data centre; such datagrams are malformed now, and addresses without a port make no peers.

--- a/internal/tokenrouter/roster.go
+++ b/internal/tokenrouter/roster.go
@@ -164,9 +164,9 @@
 }
 
 // addPeer returns the peer at an address and creates it if necessary. It returns
-// nil for an invalid address and for that of this instance.
+// nil for an address that no instance can have and for that of this instance.
 func (rt *Router) addPeer(address netip.AddrPort) *peer {
-	if address == rt.config.Self || !address.IsValid() {
+	if address == rt.config.Self || !address.IsValid() || address.Port() == 0 || address.Addr().IsUnspecified() {
 		return nil
 	}
 	p, ok := rt.roster.peers[address]
--- a/internal/tokenserver/metrics.go
+++ b/internal/tokenserver/metrics.go
@@ -20,6 +20,7 @@
 	readErrors         *metrics.Counter
 	writeErrors        *metrics.Counter
 	pauses             *metrics.Counter
+	panics             *metrics.Counter
 	fetches            *metrics.Counter
 	storeCalls         *metrics.Counter
 	storeFailures      *metrics.Counter
@@ -40,6 +41,7 @@
 		readErrors:         s.NewCounter("chervilhaven_edge_read_errors_total"),
 		writeErrors:        s.NewCounter("chervilhaven_edge_write_errors_total"),
 		pauses:             s.NewCounter("chervilhaven_edge_pauses_total"),
+		panics:             s.NewCounter("chervilhaven_edge_panics_total"),
 		fetches:            s.NewCounter("chervilhaven_edge_fetches_total"),
 		storeCalls:         s.NewCounter("chervilhaven_edge_store_calls_total"),
 		storeFailures:      s.NewCounter("chervilhaven_edge_store_failures_total"),
--- a/internal/tokenserver/packet.go
+++ b/internal/tokenserver/packet.go
@@ -33,13 +33,20 @@
 			continue
 		}
 		s.metrics.packetsReceived.Inc()
-		if err := s.config.PacketCodec.Decode(buffer[:n], &p); err != nil {
-			s.metrics.malformedDatagrams.Inc()
-			s.log.Debug("packet-malformed", zap.Error(err))
-			continue
-		}
-		s.apply(&p)
+		s.handlePacket(buffer[:n], &p)
+	}
+}
+
+// handlePacket decodes a datagram of the fabric into p and passes it to the state
+// machine.
+func (s *Server) handlePacket(datagram []byte, p *tokenrouter.Packet) {
+	defer s.containPanic(p)
+	if err := s.config.PacketCodec.Decode(datagram, p); err != nil {
+		s.metrics.malformedDatagrams.Inc()
+		s.log.Debug("packet-malformed", zap.Error(err))
+		return
 	}
+	s.apply(p)
 }
 
 // sendPacket sends the datagram in s.sendBuffer.
--- a/internal/tokenserver/peer.go
+++ b/internal/tokenserver/peer.go
@@ -31,6 +31,9 @@
 	headerTimeout = time.Second
 )
 
+// errNoDataCentre reports a datagram that no instance sent.
+var errNoDataCentre = errors.New("the data centre is missing")
+
 // readPeers passes datagrams of other instances to the state machine.
 func (s *Server) readPeers() {
 	buffer := make([]byte, maxMessageBytes)
@@ -44,15 +47,26 @@
 			s.metrics.readErrors.Inc()
 			continue
 		}
-		if err := proto.Unmarshal(buffer[:n], &message); err != nil {
-			s.metrics.malformedDatagrams.Inc()
-			s.log.Debug("message-malformed", zap.Stringer("from", from), zap.Error(err))
-			continue
-		}
-		s.metrics.messagesReceived.Inc()
 		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
-		s.apply(&tokenrouter.MessageReceived{From: from, Message: messageFromProto(&message)})
+		s.handleMessage(buffer[:n], from, &message)
+	}
+}
+
+// handleMessage decodes a datagram of another instance into message and passes it to
+// the state machine. Instances name their data centre in each message.
+func (s *Server) handleMessage(datagram []byte, from netip.AddrPort, message *edgev1.Message) {
+	defer s.containPanic(message)
+	err := proto.Unmarshal(datagram, message)
+	if err == nil && message.GetDataCentre() == "" {
+		err = errNoDataCentre
+	}
+	if err != nil {
+		s.metrics.malformedDatagrams.Inc()
+		s.log.Debug("message-malformed", zap.Stringer("from", from), zap.Error(err))
+		return
 	}
+	s.metrics.messagesReceived.Inc()
+	s.apply(&tokenrouter.MessageReceived{From: from, Message: messageFromProto(message)})
 }
 
 // sendMessage sends a datagram to another instance. It omits catalog changes that
--- a/internal/tokenserver/server.go
+++ b/internal/tokenserver/server.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -196,10 +197,12 @@
 }
 
 // apply passes one event to the state machine and executes the resulting effects.
-// If the process was paused before the event, it reports the pause first.
+// If the process was paused before the event, it reports the pause first. An event
+// that causes a panic is dropped, so that no message can end the process.
 func (s *Server) apply(event tokenrouter.Event) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.containPanic(event)
 	now := s.now()
 	next := s.router.Next()
 	if gap := now.Sub(s.lastEvent); gap > pauseThreshold {
@@ -243,6 +246,14 @@
 	}
 }
 
+// containPanic logs and counts a panic that an event caused. It has to be deferred.
+func (s *Server) containPanic(event any) {
+	if cause := recover(); cause != nil {
+		s.metrics.panics.Inc()
+		s.log.Error("panic", zap.String("event", fmt.Sprintf("%T", event)), zap.Any("cause", cause), zap.Stack("stack"))
+	}
+}
+
 // startTask runs a task in a new goroutine unless the server is closing.
 func (s *Server) startTask(task func()) {
 	if s.taskContext.Err() == nil {
