Log a whole catalog in one line

Change: more than 64 items that change together make one line items-changed. Test: TestWholeCatalogIsLoggedInOneLine.

--- a/internal/tokenrouter/logtrace_test.go
+++ b/internal/tokenrouter/logtrace_test.go
@@ -98,3 +98,21 @@
 		t.Error("step 3: no log line reports that the store failed")
 	}
 }
+
+// A whole catalog is logged in one line, a few changes one by one.
+func TestWholeCatalogIsLoggedInOneLine(t *testing.T) {
+	w := newWorld(t, 69)
+	w.addNodes("a", 1)
+	w.configure(1)
+	w.addServers("a", 200, time.Millisecond)
+	w.startAll()
+	w.advance(time.Second)
+	if n, all := w.countLines("upstream-changed"), w.countLines("items-changed"); n != 0 || all != 1 {
+		t.Errorf("%d lines upstream-changed and %d items-changed for a whole catalog, want 0 and 1", n, all)
+	}
+	w.addServers("a", 1, time.Millisecond)
+	w.advance(time.Second)
+	if n := w.countLines("upstream-changed"); n != 1 {
+		t.Errorf("%d lines upstream-changed for one change, want 1", n)
+	}
+}
--- a/internal/tokenrouter/upstream.go
+++ b/internal/tokenrouter/upstream.go
@@ -18,6 +18,11 @@
 // requests to a removed upstream is 3 s.
 const doubtfulPeriod = 2200 * time.Millisecond
 
+// maxLoggedItems is the number of items that are logged one by one when they change
+// together. A whole catalog is logged in one line: an instance has to serve before
+// it could build a thousand.
+const maxLoggedItems = 64
+
 // upstreamTable indexes upstreams by number, token and store key.
 type upstreamTable struct {
 	byNumber map[uint64]*upstream
@@ -25,6 +30,9 @@
 	byKey    map[string]*upstream
 	// doubtful lists the upstreams whose removal is not confirmed yet.
 	doubtful []*upstream
+	// quiet is true while so many upstreams change that they are not logged one by
+	// one.
+	quiet bool
 }
 
 // upstream is the forwarding state of an upstream.
@@ -92,6 +100,10 @@
 // applyItems puts changed catalog items into effect. source names their origin
 // in log lines.
 func (rt *Router) applyItems(now time.Time, source string, changed []catalog.Item) {
+	rt.upstreams.quiet = len(changed) > maxLoggedItems
+	if rt.upstreams.quiet {
+		rt.log("items-changed", "items", strconv.Itoa(len(changed)), "source", source, "through", revision(rt.catalog.Through()))
+	}
 	for i := range changed {
 		c := &changed[i]
 		switch {
@@ -154,6 +166,9 @@
 		rt.log("token-clash", "upstream", u.key, "token", strconv.FormatUint(uint64(u.token), 16))
 	}
 	rt.scheduler.SetUpstream(now, u.info, rt.stateOf(u))
+	if rt.upstreams.quiet {
+		return
+	}
 	rt.log("upstream-changed", "upstream", u.key, "service", u.info.Service, "address", u.info.Address.String(),
 		"draining", strconv.FormatBool(u.info.Draining), "cold", u.info.ColdFor.String(),
 		"source", source, "revision", revision(i.Revision))
@@ -174,6 +189,9 @@
 		rt.scheduleTick(now.Add(doubtfulPeriod))
 	}
 	rt.scheduler.SetState(u.info.Number, rt.stateOf(u))
+	if rt.upstreams.quiet {
+		return
+	}
 	rt.log("upstream-gone", "upstream", u.key, "draining", strconv.FormatBool(u.info.Draining),
 		"source", source, "revision", revision(i.Revision))
 }
