Let only a part of a large fleet call a store that is down

All instances beyond the first ten waited for the same second. Change: they follow by rank, ten a second. Instances of data centres that are cut off are not waited for.

--- a/internal/tokenrouter/fleet_test.go
+++ b/internal/tokenrouter/fleet_test.go
@@ -308,3 +308,29 @@
 		t.Error("not ready 1 s after the start")
 	}
 }
+
+// While the store is down for 6 s, only a part of a large fleet calls it, and a change
+// made in that time reaches all soon after its return.
+func TestLargeFleetSparesStoreThatIsDown(t *testing.T) {
+	w := newLargeFleet(t, 70, 17)
+	for _, n := range w.nodes {
+		n.storeReads = 0
+	}
+	w.store.down = true
+	w.configure(2)
+	w.advance(6 * time.Second)
+	reads := 0
+	for _, n := range w.nodes {
+		reads += n.storeReads
+	}
+	if reads > 150 {
+		t.Errorf("%d calls of a store that is down for 6 s, want 150 at most", reads)
+	}
+	w.store.down = false
+	w.advance(2500 * time.Millisecond)
+	for _, n := range w.nodes {
+		if n.configurationVersion() != 2 {
+			t.Errorf("%s uses version %d 2.5 s after the return of the store, want 2", n.name, n.configurationVersion())
+		}
+	}
+}
--- a/internal/tokenrouter/sync.go
+++ b/internal/tokenrouter/sync.go
@@ -1,6 +1,7 @@
 package tokenrouter
 
 import (
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -37,8 +38,9 @@
 	// readerStagger is how long each instance waits for a higher ranked one to
 	// become a reader.
 	readerStagger = 100 * time.Millisecond
-	// maxStaggeredReaders limits the number of higher ranked instances to wait
-	// for.
+	// maxStaggeredReaders is the number of instances that try to read within the
+	// first second. The others follow at the same pace by rank, so that a store that
+	// is down does not get calls from a whole fleet.
 	maxStaggeredReaders = 10
 	// minReadBackoff and maxReadBackoff limit the time between failed reads.
 	minReadBackoff = 200 * time.Millisecond
@@ -131,7 +133,18 @@
 	case r.shortageSince.IsZero():
 		r.shortageSince = now
 	}
-	return now.Sub(r.shortageSince) >= time.Duration(min(idle, maxStaggeredReaders))*readerStagger
+	wait := time.Duration(min(idle, maxStaggeredReaders)) * readerStagger
+	if idle >= maxStaggeredReaders {
+		wait += time.Duration(rt.estimatedRank()) * readerStagger
+	}
+	return now.Sub(r.shortageSince) >= wait
+}
+
+// estimatedRank returns about how many instances rank higher for reading the store.
+// Ranks are spread evenly.
+func (rt *Router) estimatedRank() int {
+	share := float64(rankOf(rt.config.Self, "", 0)) / math.MaxUint64
+	return int((1 - share) * float64(len(rt.roster.peers)))
 }
 
 // leavesFirstRead reports whether this instance still waits for a peer from which
@@ -169,7 +182,7 @@
 		if p == nil {
 			break
 		}
-		if rt.mayRead(now, p) && !rt.roster.reads(now, p) {
+		if rt.mayRead(now, p) && !rt.roster.reads(now, p) && !slices.Contains(rt.cutOff, p.dataCentre) {
 			idle++
 		}
 	}
