Tell flows that stay open apart by class, not by service

Whether flows outlast their expiry was judged for the service, where the ends of the short ones hide it. Change: outcomes are counted for each class, which the target and the kind of a route tell apart. Flows of a class that stays open are not bounded, do not count towards the bound and do not make an upstream slow.

--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -11,10 +11,8 @@
 	coldPerSecond float64
 	// maxTarget is the longest Request.Target seen so far.
 	maxTarget time.Duration
-	// endedInTime and expired count recent flows whose end was reported before
-	// the flow expired, and flows that expired first.
-	endedInTime int
-	expired     int
+	// outcomes counts how recent flows of each class ended.
+	outcomes map[Class]*outcomes
 	// endTimes are the times of recent flow ends, of tracked flows and others.
 	endTimes []time.Time
 	// medianServiceTime is the median over the upstreams, computed at medianAt.
@@ -58,19 +56,39 @@
 	return len(pl.endTimes)
 }
 
-// recordOutcomes adds flows that ended in time and flows that expired. The counts
-// are halved when they exceed longLivedSample, so that recent flows dominate.
-func (pl *pool) recordOutcomes(ended, expired int) {
-	pl.endedInTime, pl.expired = pl.endedInTime+ended, pl.expired+expired
-	if pl.endedInTime+pl.expired > longLivedSample {
-		pl.endedInTime, pl.expired = pl.endedInTime/2, pl.expired/2
+// outcomes counts recent flows whose end was reported before the flow expired, and
+// flows that expired first.
+type outcomes struct {
+	endedInTime int
+	expired     int
+}
+
+// recordOutcome counts a flow that ended in time or expired. The counts are halved
+// when they exceed longLivedSample, so that recent flows dominate.
+func (pl *pool) recordOutcome(c Class, expired bool) {
+	if pl.outcomes == nil {
+		pl.outcomes = make(map[Class]*outcomes)
+	}
+	o := pl.outcomes[c]
+	if o == nil {
+		o = &outcomes{}
+		pl.outcomes[c] = o
+	}
+	if expired {
+		o.expired++
+	} else {
+		o.endedInTime++
+	}
+	if o.endedInTime+o.expired > longLivedSample {
+		o.endedInTime, o.expired = o.endedInTime/2, o.expired/2
 	}
 }
 
-// longLived reports whether most flows outlast their expiry. The number of tracked
-// flows then says nothing about the load.
-func (pl *pool) longLived() bool {
-	return pl.expired > longLivedSample/4 && pl.expired > longLivedRatio*pl.endedInTime
+// longLived reports whether most flows of a class outlast their expiry. The number
+// of tracked flows then says nothing about the load.
+func (pl *pool) longLived(c Class) bool {
+	o := pl.outcomes[c]
+	return o != nil && o.expired > longLivedSample/4 && o.expired > longLivedRatio*o.endedInTime
 }
 
 // flowExpiry returns the time after which a flow without a reported end expires.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -135,6 +135,16 @@
 	Bulk bool
 }
 
+// Class is what the flows of a service are told apart by: whether they stay open
+// between requests is learnt for each class. Routes to one service that differ in
+// kind have different targets.
+type Class struct {
+	Target time.Duration
+	Bulk   bool
+}
+
+func (r *Request) class() Class { return Class{r.Target, r.Bulk} }
+
 // AnyGroup as Request.Group permits the upstreams of all groups.
 const AnyGroup = -1
 
@@ -255,10 +265,10 @@
 		u := p.best(now, pl, r)
 		switch {
 		case u == nil:
-		case r.Bounded && u.atBound(now, pl, r.Bulk):
+		case r.Bounded && u.atBound(now, pl, r.class()):
 			verdict = Full
 		default:
-			u.addFlow(now, placed{r.Flow, now})
+			u.addFlow(now, placed{r.Flow, now, r.class()})
 			return u.info.Number, Placed
 		}
 	}
@@ -288,13 +298,15 @@
 	Upstream uint64
 	Flow     uint64
 	At       time.Time
+	// Class is the zero value if it is not known.
+	Class Class
 }
 
 // TrackFlow tracks a flow that another instance placed or tracked. Flows that are
 // already tracked, or that recently ended, are ignored.
 func (p *Scheduler) TrackFlow(now time.Time, o OutstandingFlow) {
 	if u, ok := p.upstreams[o.Upstream]; ok && u.indexOf(o.Flow) < 0 && !u.endedEarly(now, o.Flow) {
-		u.addFlow(now, placed{o.Flow, o.At})
+		u.addFlow(now, placed{o.Flow, o.At, o.Class})
 	}
 }
 
@@ -312,11 +324,11 @@
 		}
 		u.expire(now, pl)
 		for _, f := range u.placed {
-			flows = append(flows, OutstandingFlow{u.info.Number, f.flow, f.at})
+			flows = append(flows, OutstandingFlow{u.info.Number, f.flow, f.at, f.class})
 		}
 		for _, f := range u.earlyEnds {
 			if now.Sub(f.at) <= earlyEndRetention {
-				ended = append(ended, OutstandingFlow{u.info.Number, f.flow, f.at})
+				ended = append(ended, OutstandingFlow{u.info.Number, f.flow, f.at, f.class})
 			}
 		}
 		u.placed, u.earlyEnds = u.placed[:0], u.earlyEnds[:0]
@@ -388,12 +400,13 @@
 	pl.recentEnds(now)
 	pl.endTimes = append(pl.endTimes, now)
 	u.expire(now, pl)
-	work, counted := u.endFlow(now, flow)
+	f, counted := u.endFlow(now, flow)
 	if !counted {
 		return
 	}
+	work := now.Sub(f.at)
 	// An end does not show that the upstream responds: callers that give up end flows too.
-	pl.recordOutcomes(1, 0)
+	pl.recordOutcome(f.class, false)
 	if u.serviceTime == 0 {
 		u.serviceTime = work
 	}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -141,8 +141,8 @@
 func TestCountIgnoresDuplicates(t *testing.T) {
 	p := newScheduler(1)
 	place(t, p, at(0), Request{Group: AnyGroup, Flow: 7})
-	p.TrackFlow(at(0), OutstandingFlow{1, 7, at(0)})
-	p.TrackFlow(at(0), OutstandingFlow{1, 8, at(0)})
+	p.TrackFlow(at(0), OutstandingFlow{Upstream: 1, Flow: 7, At: at(0)})
+	p.TrackFlow(at(0), OutstandingFlow{Upstream: 1, Flow: 8, At: at(0)})
 	if n := p.OutstandingFlows(at(0), 1); n != 2 {
 		t.Errorf("%d flows are counted, want 2", n)
 	}
@@ -169,11 +169,11 @@
 func TestEarlyEndPreventsCount(t *testing.T) {
 	p := newScheduler(1)
 	p.FlowEnded(at(0), 1, 5)
-	p.TrackFlow(at(time.Millisecond), OutstandingFlow{1, 5, at(0)})
+	p.TrackFlow(at(time.Millisecond), OutstandingFlow{Upstream: 1, Flow: 5, At: at(0)})
 	if n := p.OutstandingFlows(at(time.Millisecond), 1); n != 0 {
 		t.Errorf("%d flows are counted after their end, want 0", n)
 	}
-	p.TrackFlow(at(2*earlyEndRetention), OutstandingFlow{1, 5, at(2 * earlyEndRetention)})
+	p.TrackFlow(at(2*earlyEndRetention), OutstandingFlow{Upstream: 1, Flow: 5, At: at(2 * earlyEndRetention)})
 	if n := p.OutstandingFlows(at(2*earlyEndRetention), 1); n != 1 {
 		t.Errorf("%d flows are counted after the caller reused its port, want 1", n)
 	}
@@ -188,7 +188,7 @@
 	now := at(10 * time.Millisecond)
 	from.FlowEnded(now, 1, 99)
 	taken, ended := from.TakeGroup(now, desk, 0)
-	if d := cmp.Diff([]OutstandingFlow{{1, 99, now}}, ended); d != "" {
+	if d := cmp.Diff([]OutstandingFlow{{Upstream: 1, Flow: 99, At: now}}, ended); d != "" {
 		t.Errorf("ends to hand off (-want +got):\n%s", d)
 	}
 	for _, o := range taken {
@@ -306,10 +306,10 @@
 func TestEndOfUnansweredFlowClearsSuspicion(t *testing.T) {
 	p := newScheduler(2)
 	for flow := range uint64(unansweredThreshold) {
-		p.TrackFlow(at(0), OutstandingFlow{1, flow, at(0)})
+		p.TrackFlow(at(0), OutstandingFlow{Upstream: 1, Flow: flow, At: at(0)})
 		p.RecordUnanswered(at(0), 1, flow, "self", true)
 	}
-	p.TrackFlow(at(0), OutstandingFlow{1, 77, at(0)})
+	p.TrackFlow(at(0), OutstandingFlow{Upstream: 1, Flow: 77, At: at(0)})
 	if p.FlowEnded(at(0), 1, 77); !p.IsSuspect(at(0), 1) {
 		t.Fatal("end of another flow cleared the suspicion")
 	}
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -31,8 +31,9 @@
 // placed is a flow and the time at which it was placed or, in earlyEnds, at which
 // its end was reported.
 type placed struct {
-	flow uint64
-	at   time.Time
+	flow  uint64
+	at    time.Time
+	class Class
 }
 
 // expectedTime returns the expected time until one more flow gets its response.
@@ -67,12 +68,15 @@
 func (u *upstream) expire(now time.Time, pl *pool) {
 	n := 0
 	for n < len(u.placed) && now.Sub(u.placed[n].at) > pl.flowExpiry() {
-		// A flow that outlasts its expiry indicates a slow upstream.
-		u.serviceTime = min(cmp.Or(u.serviceTime, pl.medianServiceTime)*5/4, maxServiceTime)
+		// A flow that outlasts its expiry indicates a slow upstream, unless flows of
+		// its class stay open between requests.
+		if c := u.placed[n].class; !pl.longLived(c) {
+			u.serviceTime = min(cmp.Or(u.serviceTime, pl.medianServiceTime)*5/4, maxServiceTime)
+		}
+		pl.recordOutcome(u.placed[n].class, true)
 		n++
 	}
 	u.placed = slices.Delete(u.placed, 0, n)
-	pl.recordOutcomes(0, n)
 }
 
 // addFlow tracks a flow. If the upstream is suspect, the flow counts as its trial.
@@ -107,29 +111,37 @@
 
 // atBound reports whether the upstream has as many flows as it can work on, plus
 // a few in transit. Long-lived flows do not count: they say nothing about the load.
-func (u *upstream) atBound(now time.Time, pl *pool, bulk bool) bool {
+func (u *upstream) atBound(now time.Time, pl *pool, c Class) bool {
 	u.expire(now, pl)
 	slots := max(u.info.Slots, 1)
-	if bulk {
+	if c.Bulk {
 		slots *= bulkPerSlot
 	}
-	return !pl.longLived() && len(u.placed) >= boundPerSlot*slots+1
+	if pl.longLived(c) || len(u.placed) < boundPerSlot*slots+1 {
+		return false
+	}
+	n := 0
+	for _, f := range u.placed {
+		if !pl.longLived(f.class) {
+			n++
+		}
+	}
+	return n >= boundPerSlot*slots+1
 }
 
-// endFlow stops tracking a flow and returns how long it was outstanding. The end
-// of an untracked flow is kept for a while, as the report of its placement may
+// endFlow stops tracking a flow and returns it. The end of an untracked flow is kept for a while, as the report of its placement may
 // still arrive.
-func (u *upstream) endFlow(now time.Time, flow uint64) (time.Duration, bool) {
+func (u *upstream) endFlow(now time.Time, flow uint64) (f placed, counted bool) {
 	n := u.indexOf(flow)
 	if n < 0 {
 		if !u.endedEarly(now, flow) {
-			u.earlyEnds = append(u.earlyEnds, placed{flow, now})
+			u.earlyEnds = append(u.earlyEnds, placed{flow: flow, at: now})
 		}
-		return 0, false
+		return placed{}, false
 	}
-	work := now.Sub(u.placed[n].at)
+	f = u.placed[n]
 	u.placed = slices.Delete(u.placed, n, n+1)
-	return work, true
+	return f, true
 }
 
 // endedEarly reports whether the end of a flow arrived before the report that it was
--- a/internal/tokenrouter/caller_test.go
+++ b/internal/tokenrouter/caller_test.go
@@ -37,6 +37,8 @@
 	startedAt      time.Time
 	answeredAt     time.Time
 	refused        bool
+	// keepsOpen leaves the flow open after the response.
+	keepsOpen bool
 	// dropPackets loses all packets of the flow after its opening packets.
 	dropPackets bool
 	// via is the instance that gets all packets, nil to let the network fabric
@@ -185,7 +187,9 @@
 func (c *caller) handleResponse(t token.Token) {
 	if c.answeredAt.IsZero() {
 		c.token, c.answeredAt = t, c.w.now
-		c.send(&Packet{Role: flow.RoleClose})
+		if !c.keepsOpen {
+			c.send(&Packet{Role: flow.RoleClose})
+		}
 	}
 }
 
--- a/internal/tokenrouter/coordination.go
+++ b/internal/tokenrouter/coordination.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/chervilhaven/chervilhaven/internal/catalog"
 	"github.com/chervilhaven/chervilhaven/internal/scheduler"
 )
 
@@ -249,7 +250,9 @@
 		rt.chooseWithoutCoordinator(now, o)
 		return
 	}
-	rt.scheduler.TrackFlow(now, scheduler.OutstandingFlow{Upstream: g.Upstream, Flow: g.Flow, At: now})
+	rt.scheduler.TrackFlow(now, scheduler.OutstandingFlow{
+		Upstream: g.Upstream, Flow: g.Flow, At: now, Class: scheduler.Class{Target: o.route.Target, Bulk: o.route.Work == catalog.Bulk},
+	})
 	rt.offer(now, o, g.Upstream)
 }
 
--- a/internal/tokenrouter/load_test.go
+++ b/internal/tokenrouter/load_test.go
@@ -1,6 +1,7 @@
 package tokenrouter
 
 import (
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -340,3 +341,31 @@
 		}
 	}
 }
+
+// Callers open flows that stay open between requests beside flows of one request, at
+// 58% of the capacity of the same upstreams. The open flows say nothing about the
+// load and must not keep others waiting.
+func TestFlowsThatStayOpenDoNotHoldUpOthers(t *testing.T) {
+	w := newSmallFleet(t, 90)
+	var list []*caller
+	open := func(destination netip.AddrPort, rate float64, keepsOpen bool) {
+		gap := time.Duration(float64(time.Second) / rate)
+		for at := time.Duration(0); at < 5*time.Second; at += gap {
+			w.after(at, func() {
+				c := w.call(destination, nil)
+				c.keepsOpen = keepsOpen
+				list = append(list, c)
+			})
+		}
+	}
+	// Routes of two classes on the same service.
+	w.configure(2, catalog.Route{Address: ledgerRoute, Service: "desk", Target: 2 * targetLatency, Deadline: 1500 * time.Millisecond, Priority: 1})
+	w.advance(500 * time.Millisecond)
+	open(deskRoute, 300, true)
+	open(ledgerRoute, 90, false)
+	from := w.now.Add(time.Second)
+	w.advance(7 * time.Second)
+	if share := shareInTime(startedBetween(list, from, w.now)); share < 0.95 {
+		t.Errorf("%.3f answered within %s, want 0.95", share, targetLatency)
+	}
+}
