--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -129,8 +129,8 @@
 	return n >= boundPerSlot*slots+1
 }
 
-// endFlow stops tracking a flow and returns it. The end of an untracked flow is kept for a while, as the report of its placement may
-// still arrive.
+// endFlow stops tracking a flow and returns it. The end of an untracked flow is kept
+// for a while, as the report of its placement may still arrive.
 func (u *upstream) endFlow(now time.Time, flow uint64) (f placed, counted bool) {
 	n := u.indexOf(flow)
 	if n < 0 {
