--- a/internal/tokenrouter/coordination.go
+++ b/internal/tokenrouter/coordination.go
@@ -157,7 +157,7 @@
 // startingUp reports whether the instance started so recently that it may not
 // know yet which other instances started with it.
 func (rt *Router) startingUp(now time.Time) bool {
-	return now.Sub(rt.started) < rosterSettleTime && (!rt.roster.heard || now.Sub(rt.roster.lastNewPeer) < rosterQuietTime)
+	return now.Sub(rt.started) < rosterSettleTime && (rt.roster.lastHeard.IsZero() || now.Sub(rt.roster.lastNewPeer) < rosterQuietTime)
 }
 
 // startupLimit returns the limit on flows placed within the duration of one
--- a/internal/tokenrouter/datacentre.go
+++ b/internal/tokenrouter/datacentre.go
@@ -134,13 +134,14 @@
 		return false
 	}
 	s.unanswered++
-	switch cut := s.unanswered > maxUnansweredChecks; {
+	cut := s.unanswered > maxUnansweredChecks
+	switch {
 	case !cut:
 		rt.probeDataCentre(now, name, min(s.unanswered, probesPerCheck))
 	case s.unanswered%checksPerProbe == 0:
 		rt.probeDataCentre(now, name, 1)
 	}
-	return s.unanswered > maxUnansweredChecks
+	return cut
 }
 
 // probeDataCentre asks some live instances of a data centre for a sign of life.
--- a/internal/tokenrouter/heartbeat.go
+++ b/internal/tokenrouter/heartbeat.go
@@ -57,7 +57,7 @@
 	r := &rt.roster
 	r.next = now.Add(heartbeatInterval)
 	switch {
-	case !r.heard:
+	case r.lastHeard.IsZero():
 		r.next = now.Add(helloInterval)
 		rt.sendHelloToSeeds()
 		rt.heartbeatToAll(now)
@@ -205,7 +205,7 @@
 		p.dataCentre = m.DataCentre
 		r.version++
 	}
-	r.heard, r.lastHeard = true, now
+	r.lastHeard = now
 	p.heard, p.alive, p.leaving, p.missedProbes = now, now, m.Leaving, 0
 	if m.Reads {
 		r.noteReader(p, now)
--- a/internal/tokenrouter/relay.go
+++ b/internal/tokenrouter/relay.go
@@ -59,7 +59,7 @@
 		}
 	}
 	reliable := func(p *peer) int {
-		if rt.mayCoordinate(now, p) {
+		if rt.usable(now, p) {
 			return 0
 		}
 		return 1
--- a/internal/tokenrouter/roster.go
+++ b/internal/tokenrouter/roster.go
@@ -71,9 +71,7 @@
 	readers []*peer
 	// greeted counts the peers that got a hello because another peer named them.
 	greeted int
-	// heard is true once a message from any peer has arrived, lastHeard is when
-	// the last one did.
-	heard     bool
+	// lastHeard is when a message from any peer last arrived, zero before the first.
 	lastHeard time.Time
 	// lastNewPeer is when a peer was last heard of for the first time.
 	lastNewPeer time.Time
@@ -266,7 +264,7 @@
 		if p == nil && !rt.stopping {
 			return nil
 		}
-		if p != nil && rt.mayCoordinate(now, p) {
+		if p != nil && rt.usable(now, p) {
 			return p
 		}
 	}
@@ -282,7 +280,7 @@
 		highest = rankOf(rt.config.Self, service, number)
 	}
 	for _, p := range rt.roster.peers {
-		if !rt.mayCoordinate(now, p) {
+		if !rt.usable(now, p) {
 			continue
 		}
 		if r := rankOf(p.address, service, number); r > highest {
@@ -292,8 +290,9 @@
 	return best
 }
 
-// mayCoordinate reports whether a peer is usable as coordinator.
-func (rt *Router) mayCoordinate(now time.Time, p *peer) bool {
+// usable reports whether a peer can be relied on: it is live and not leaving, it
+// answers Asks, and its data centre can be reached.
+func (rt *Router) usable(now time.Time, p *peer) bool {
 	return !p.leaving && p.missedAsks < maxMissedAsks && rt.roster.live(now, p) && !slices.Contains(rt.cutOff, p.dataCentre)
 }
 
--- a/internal/tokenrouter/upstream.go
+++ b/internal/tokenrouter/upstream.go
@@ -30,9 +30,6 @@
 	byKey    map[string]*upstream
 	// doubtful lists the upstreams whose removal is not confirmed yet.
 	doubtful []*upstream
-	// quiet is true while so many upstreams change that they are not logged one by
-	// one.
-	quiet bool
 }
 
 // upstream is the forwarding state of an upstream.
@@ -100,8 +97,8 @@
 // applyItems puts changed catalog items into effect. source names their origin
 // in log lines.
 func (rt *Router) applyItems(now time.Time, source string, changed []catalog.Item) {
-	rt.upstreams.quiet = len(changed) > maxLoggedItems
-	if rt.upstreams.quiet {
+	each := len(changed) <= maxLoggedItems
+	if !each {
 		rt.log("items-changed", "items", strconv.Itoa(len(changed)), "source", source, "through", revision(rt.catalog.Through()))
 	}
 	for i := range changed {
@@ -112,9 +109,9 @@
 		case strings.HasPrefix(c.Key, catalog.PrefixDataCentreOut):
 			rt.applyDataCentreOut(source, c)
 		case c.Upstream != nil:
-			rt.applyUpstream(now, source, c)
+			rt.applyUpstream(now, source, c, each)
 		case strings.HasPrefix(c.Key, catalog.PrefixUpstream):
-			rt.applyRemoval(now, source, c)
+			rt.applyRemoval(now, source, c, each)
 		}
 	}
 	if len(changed) > 0 {
@@ -156,7 +153,7 @@
 	}
 }
 
-func (rt *Router) applyUpstream(now time.Time, source string, i *catalog.Item) {
+func (rt *Router) applyUpstream(now time.Time, source string, i *catalog.Item, logged bool) {
 	if old, ok := rt.upstreams.byKey[i.Key]; ok && old.info.Number != i.Upstream.Number {
 		old.goneAt = now
 		rt.scheduler.SetState(old.info.Number, scheduler.Closed)
@@ -166,7 +163,7 @@
 		rt.log("token-clash", "upstream", u.key, "token", strconv.FormatUint(uint64(u.token), 16))
 	}
 	rt.scheduler.SetUpstream(now, u.info, rt.stateOf(u))
-	if rt.upstreams.quiet {
+	if !logged {
 		return
 	}
 	rt.log("upstream-changed", "upstream", u.key, "service", u.info.Service, "address", u.info.Address.String(),
@@ -177,7 +174,7 @@
 // applyRemoval handles the disappearance of an upstream's entry. An upstream
 // that was not draining may come back, so it stays usable as a last resort for
 // doubtfulPeriod.
-func (rt *Router) applyRemoval(now time.Time, source string, i *catalog.Item) {
+func (rt *Router) applyRemoval(now time.Time, source string, i *catalog.Item, logged bool) {
 	u, ok := rt.upstreams.byKey[i.Key]
 	if !ok || !u.goneAt.IsZero() {
 		return
@@ -189,7 +186,7 @@
 		rt.scheduleTick(now.Add(doubtfulPeriod))
 	}
 	rt.scheduler.SetState(u.info.Number, rt.stateOf(u))
-	if rt.upstreams.quiet {
+	if !logged {
 		return
 	}
 	rt.log("upstream-gone", "upstream", u.key, "draining", strconv.FormatBool(u.info.Draining),
