Log the store's era and what came of a read in another era

The log could not tell an item that is ignored as older from one that never came, and named no era. No decision depends on them yet.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -20,9 +20,14 @@
 	PrefixDataCentreOut = "out/"
 )
 
-// Revision orders all changes of the store. Zero precedes the first change.
+// Revision orders all changes of the store within an era. Zero precedes the first
+// change.
 type Revision uint64
 
+// Era counts how often the store was restored from a copy. A restored store gives
+// out the revisions after that of the copy again, for other changes.
+type Era uint64
+
 // WorkKind classifies the requests of a route by how often they may run and how large
 // their responses are. The zero value, Once, is the most cautious.
 type WorkKind uint8
@@ -113,6 +118,8 @@
 
 // Batch is a set of changes, or a snapshot, of the platform's content.
 type Batch struct {
+	// Era is the era of all revisions in the batch.
+	Era   Era
 	Items []Item
 	// The batch holds the latest change of every key that changed after Since and
 	// up to Through.
@@ -123,6 +130,16 @@
 	Snapshot bool
 }
 
+// Change is the result of applying a batch to a Catalog.
+type Change struct {
+	// Items are the items that changed, ordered by revision.
+	Items []Item
+	// Stale counts the items that are older than those held.
+	Stale int
+	// Connected is false if there is a gap between the catalog and the batch.
+	Connected bool
+}
+
 // entry is one item and the time at which it became known.
 type entry struct {
 	item       Item
@@ -142,28 +159,30 @@
 // Through returns the revision up to which the catalog is complete.
 func (c *Catalog) Through() Revision { return c.through }
 
-// Apply stores the items of a batch that are newer than those held and returns
-// them, ordered by revision. connected is false if there is a gap between the
-// catalog and the batch. The items are stored even then, since each is newer than
+// Apply stores the items of a batch that are newer than those held. It stores them
+// even if there is a gap between the catalog and the batch, since each is newer than
 // the one it replaces.
-func (c *Catalog) Apply(now time.Time, b Batch) (changed []Item, connected bool) {
+func (c *Catalog) Apply(now time.Time, b Batch) Change {
 	if c.items == nil {
 		c.items = make(map[string]*entry)
 	}
+	var change Change
 	for i := range b.Items {
+		if h, ok := c.items[b.Items[i].Key]; ok && h.item.Revision > b.Items[i].Revision {
+			change.Stale++
+		}
 		if c.put(now, &b.Items[i]) {
-			changed = append(changed, b.Items[i])
+			change.Items = append(change.Items, b.Items[i])
 		}
 	}
 	if b.Snapshot {
-		changed = append(changed, c.deleteUnlisted(now, &b)...)
+		change.Items = append(change.Items, c.deleteUnlisted(now, &b)...)
 	}
-	slices.SortStableFunc(changed, func(x, y Item) int { return compare(x.Revision, y.Revision) })
-	if !b.Snapshot && b.Since > c.through {
-		return changed, false
+	slices.SortStableFunc(change.Items, func(x, y Item) int { return compare(x.Revision, y.Revision) })
+	if change.Connected = b.Snapshot || b.Since <= c.through; change.Connected {
+		c.through = max(c.through, b.Through)
 	}
-	c.through = max(c.through, b.Through)
-	return changed, true
+	return change
 }
 
 func compare(x, y Revision) int {
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -28,9 +28,9 @@
 func TestApplyIgnoresOlderItem(t *testing.T) {
 	var c Catalog
 	c.Apply(at(0), Batch{Snapshot: true, Through: 9, Items: []Item{upstream("a", 9, 2)}})
-	changed, connected := c.Apply(at(1), Batch{Since: 0, Through: 5, Items: []Item{upstream("a", 5, 1)}})
-	if len(changed) != 0 || !connected {
-		t.Errorf("changed keys %v, connected %t; want none, true", keysOf(changed), connected)
+	change := c.Apply(at(1), Batch{Since: 0, Through: 5, Items: []Item{upstream("a", 5, 1)}})
+	if len(change.Items) != 0 || !change.Connected || change.Stale != 1 {
+		t.Errorf("changed keys %v, connected %t, %d stale; want none, true, 1", keysOf(change.Items), change.Connected, change.Stale)
 	}
 	i, _ := c.Get(PrefixUpstream + "a")
 	if i.Upstream.Number != 2 || c.Through() != 9 {
@@ -43,7 +43,7 @@
 	c.Apply(at(0), Batch{Snapshot: true, Through: 3, Items: []Item{upstream("a", 1, 1), upstream("b", 2, 2)}})
 	// An item that is newer than the snapshot stays.
 	c.Apply(at(0), Batch{Since: 3, Through: 8, Items: []Item{upstream("c", 8, 3)}})
-	changed, _ := c.Apply(at(1), Batch{Snapshot: true, Through: 6, Items: []Item{upstream("b", 2, 2)}})
+	changed := c.Apply(at(1), Batch{Snapshot: true, Through: 6, Items: []Item{upstream("b", 2, 2)}}).Items
 	if d := cmp.Diff([]string{"upstream/a@6"}, keysOf(changed)); d != "" {
 		t.Errorf("changed keys (-want +got):\n%s", d)
 	}
@@ -55,9 +55,9 @@
 func TestApplyReportsGapAndKeepsItems(t *testing.T) {
 	var c Catalog
 	c.Apply(at(0), Batch{Snapshot: true, Through: 3})
-	changed, connected := c.Apply(at(0), Batch{Since: 5, Through: 6, Items: []Item{upstream("a", 6, 1)}})
-	if connected || len(changed) != 1 || c.Through() != 3 {
-		t.Errorf("connected %t, %d changes, through revision %d; want false, 1, 3", connected, len(changed), c.Through())
+	change := c.Apply(at(0), Batch{Since: 5, Through: 6, Items: []Item{upstream("a", 6, 1)}})
+	if change.Connected || len(change.Items) != 1 || c.Through() != 3 {
+		t.Errorf("connected %t, %d changes, through revision %d; want false, 1, 3", change.Connected, len(change.Items), c.Through())
 	}
 }
 
@@ -66,7 +66,7 @@
 	c.Apply(at(0), Batch{Snapshot: true, Through: 4, Items: []Item{upstream("a", 4, 1)}})
 	c.Apply(at(1), Batch{Since: 4, Through: 5, Items: []Item{{Key: PrefixUpstream + "a", Revision: 5}}})
 	c.ForgetDeletions(at(2))
-	if changed, _ := c.Apply(at(3), Batch{Since: 3, Through: 4, Items: []Item{upstream("a", 4, 1)}}); len(changed) != 0 {
+	if changed := c.Apply(at(3), Batch{Since: 3, Through: 4, Items: []Item{upstream("a", 4, 1)}}).Items; len(changed) != 0 {
 		t.Errorf("older item undid a forgotten deletion: %v", keysOf(changed))
 	}
 	if b := c.ChangesSince(4); !b.Snapshot {
--- a/internal/tokenrouter/count.go
+++ b/internal/tokenrouter/count.go
@@ -19,4 +19,6 @@
 	UnansweredAsks uint64 `json:"asked-alone"`
 	// Malformed counts entries of the store that could not be decoded.
 	Malformed uint64 `json:"malformed-entries"`
+	// Stale counts items read from the store that were older than those held.
+	Stale uint64 `json:"stale-items"`
 }
--- a/internal/tokenrouter/sync.go
+++ b/internal/tokenrouter/sync.go
@@ -67,8 +67,9 @@
 	reading bool
 	// readsStore is true if the last read succeeded.
 	readsStore bool
-	// heard is when the store last answered.
+	// heard is when the store last answered, era its era then.
 	heard time.Time
+	era   catalog.Era
 	// next is when to read next, or to check again whether this instance should
 	// read.
 	next    time.Time
@@ -223,22 +224,37 @@
 func (rt *Router) handleStoreRead(now time.Time, v *StoreRead) {
 	r := &rt.reader
 	if !r.readsStore {
-		rt.log("store-read", "through", revision(v.Batch.Through), "whole", strconv.FormatBool(v.Batch.Snapshot))
+		rt.log("store-read", "era", era(v.Batch.Era), "through", revision(v.Batch.Through), "whole", strconv.FormatBool(v.Batch.Snapshot))
 	}
 	r.reading, r.readsStore, r.backoff, r.failures, r.next = false, true, 0, 0, now
 	if n := len(v.Malformed); n > 0 {
 		rt.counts.Malformed += uint64(n)
 		rt.log("entries-malformed", "entries", strconv.Itoa(n), "first", v.Malformed[0].Error(), "through", revision(v.Batch.Through))
 	}
-	r.heard = now
 	through := rt.catalog.Through()
-	changed, connected := rt.catalog.Apply(now, v.Batch)
-	r.fullReadNeeded = !connected
-	rt.applyItems(now, "store", changed)
+	change := rt.catalog.Apply(now, v.Batch)
+	rt.noteStoreEra(through, v, &change)
+	r.heard = now
+	r.fullReadNeeded = !change.Connected
+	rt.applyItems(now, "store", change.Items)
 	if rt.catalog.Through() > through {
 		r.next = now.Add(minReadInterval)
-		rt.broadcastChanges(now, changed, &v.Batch)
+		rt.broadcastChanges(now, change.Items, &v.Batch)
+	}
+}
+
+// noteStoreEra logs a read of the store in another era than the last one, and what
+// came of its items. held is the revision up to which the catalog was complete.
+func (rt *Router) noteStoreEra(held catalog.Revision, v *StoreRead, change *catalog.Change) {
+	r := &rt.reader
+	rt.counts.Stale += uint64(change.Stale)
+	if r.heard.IsZero() || r.era == v.Batch.Era {
+		r.era = v.Batch.Era
+		return
 	}
+	rt.log("store-era-changed", "era", era(v.Batch.Era), "before", era(r.era), "through", revision(v.Batch.Through), "held", revision(held),
+		"items", strconv.Itoa(len(v.Batch.Items)), "changed", strconv.Itoa(len(change.Items)), "stale", strconv.Itoa(change.Stale))
+	r.era = v.Batch.Era
 }
 
 // broadcastChanges informs all peers that are behind. Changes that do not fit
@@ -275,8 +291,7 @@
 
 // handleChanges applies changes that a peer sent.
 func (rt *Router) handleChanges(now time.Time, from *peer, b *catalog.Batch) {
-	changed, _ := rt.catalog.Apply(now, *b)
-	rt.applyItems(now, from.address.String(), changed)
+	rt.applyItems(now, from.address.String(), rt.catalog.Apply(now, *b).Items)
 }
 
 // fetchIfDue fetches from a peer with a newer catalog, unless the changes arrive
@@ -367,8 +382,7 @@
 // handleFetched applies the catalog items fetched from a peer.
 func (rt *Router) handleFetched(now time.Time, v *Fetched) {
 	rt.reader.fetching = false
-	changed, _ := rt.catalog.Apply(now, v.Batch)
-	rt.applyItems(now, v.From.String(), changed)
+	rt.applyItems(now, v.From.String(), rt.catalog.Apply(now, v.Batch).Items)
 	if from, ok := rt.roster.peers[v.From]; ok && from.dataCentre != rt.config.DataCentre {
 		rt.notifyNeighbours(now)
 	}
--- a/internal/tokenrouter/upstream.go
+++ b/internal/tokenrouter/upstream.go
@@ -232,6 +232,8 @@
 
 func revision(r catalog.Revision) string { return strconv.FormatUint(uint64(r), 10) }
 
+func era(e catalog.Era) string { return strconv.FormatUint(uint64(e), 10) }
+
 // sortedNumbers returns the numbers of all known upstreams in ascending order.
 func (t *upstreamTable) sortedNumbers() []uint64 {
 	numbers := make([]uint64, 0, len(t.byNumber))
