--- a/internal/fake/kvstore/kvstore.go
+++ b/internal/fake/kvstore/kvstore.go
@@ -24,6 +24,8 @@
 	// defaultPageSize is the maximum number of items in a range response.
 	defaultPageSize   = 500
 	readHeaderTimeout = 5 * time.Second
+	// headerEra names the header of each response that holds the era.
+	headerEra = "Store-Era"
 	// unresponsiveHold is the time for which an unresponsive store holds a request
 	// before it closes the connection.
 	unresponsiveHold = time.Minute
@@ -65,6 +67,8 @@
 	items    map[string]Item
 	history  []Item
 	revision uint64
+	// era counts the restores from a copy. Each response names it.
+	era uint64
 	// compactedRevision is the revision up to which the history was discarded.
 	compactedRevision uint64
 	pageSize          int
@@ -94,7 +98,7 @@
 		return nil, errors.Wrap(err, "store listen")
 	}
 	s := &Store{
-		listener: l, items: make(map[string]Item), pageSize: defaultPageSize,
+		listener: l, items: make(map[string]Item), pageSize: defaultPageSize, era: 1,
 		changed: make(chan struct{}), done: make(chan struct{}), faultyClients: make(map[netip.Addr]bool),
 	}
 	mux := http.NewServeMux()
@@ -179,6 +183,39 @@
 	s.compactedRevision, s.history = s.revision, nil
 }
 
+// Copy is the content of a store at some time.
+type Copy struct {
+	items    map[string]Item
+	history  []Item
+	revision uint64
+	// compactedRevision is that of the store at the time of the copy.
+	compactedRevision uint64
+}
+
+// Revision returns the revision of the last change that the copy contains.
+func (c *Copy) Revision() uint64 { return c.revision }
+
+// Copy returns a copy of the content, for Restore.
+func (s *Store) Copy() *Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Copy{maps.Clone(s.items), slices.Clone(s.history), s.revision, s.compactedRevision}
+}
+
+// Restore replaces the content by a copy, as after a restore from a backup: the
+// changes since are lost, their revisions are given out again, and the era rises.
+// Waiting watches are woken.
+func (s *Store) Restore(c *Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items, s.history = maps.Clone(c.items), slices.Clone(c.history)
+	s.revision, s.compactedRevision = c.revision, c.compactedRevision
+	s.serializableItems = nil
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // FreezeSerializableReads makes all later serializable reads return the state at
 // the time of the call, as a replica that lags behind does.
 func (s *Store) FreezeSerializableReads() {
@@ -209,6 +246,7 @@
 		}
 		s.mu.Unlock()
 		s.sleep(r, delay)
+		w = &eraWriter{w, s}
 		switch faultMode {
 		case Unavailable:
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -225,6 +263,19 @@
 	}
 }
 
+// eraWriter adds the era at the time of the response to its header.
+type eraWriter struct {
+	http.ResponseWriter
+	store *Store
+}
+
+func (w *eraWriter) WriteHeader(status int) {
+	w.store.mu.Lock()
+	w.Header().Set(headerEra, strconv.FormatUint(w.store.era, 10))
+	w.store.mu.Unlock()
+	w.ResponseWriter.WriteHeader(status)
+}
+
 func (s *Store) sleep(r *http.Request, d time.Duration) {
 	if d == 0 {
 		return
@@ -281,9 +332,9 @@
 	}
 	deadline := time.After(min(time.Duration(wait)*time.Millisecond, maxWait))
 	for {
-		response, compacted, changed := s.changesSince(after, q.Get("prefix"))
+		response, lost, changed := s.changesSince(after, q.Get("prefix"))
 		switch {
-		case compacted:
+		case lost:
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(response.Events) > 0:
@@ -303,9 +354,9 @@
 	}
 }
 
-// changesSince returns the changes after a revision, whether compaction has
-// discarded some of them, and a channel that is closed at the next change.
-func (s *Store) changesSince(after uint64, prefix string) (response watchResponse, compacted bool, changed chan struct{}) {
+// changesSince returns the changes after a revision, whether compaction or a restore
+// has discarded some of them, and a channel that is closed at the next change.
+func (s *Store) changesSince(after uint64, prefix string) (response watchResponse, lost bool, changed chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	response = watchResponse{Events: []Item{}, AsOf: s.revision}
@@ -314,10 +365,11 @@
 			response.Events = append(response.Events, i)
 		}
 	}
-	return response, after < s.compactedRevision, s.changed
+	return response, after < s.compactedRevision || after > s.revision, s.changed
 }
 
 func writeJSON(w http.ResponseWriter, body any) {
 	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusOK)
 	_ = json.NewEncoder(w).Encode(body) // Encoding fails only if the client has disconnected, and it will retry.
 }
--- a/internal/tokenrouter/world_test.go
+++ b/internal/tokenrouter/world_test.go
@@ -112,8 +112,10 @@
 	// compactedThrough is the revision up to which the history was compacted;
 	// changes since an older revision cannot be read.
 	compactedThrough catalog.Revision
-	down             bool
-	waiters          []func()
+	// era counts the times that the store was restored from a copy.
+	era     catalog.Era
+	down    bool
+	waiters []func()
 	// fullReadTime is the time that a full read occupies the link of the store,
 	// which is free at linkFree.
 	fullReadTime time.Duration
@@ -302,7 +304,7 @@
 		return
 	}
 	if f.Since == 0 {
-		b := catalog.Batch{Snapshot: true, Through: s.revision}
+		b := catalog.Batch{Era: s.era, Snapshot: true, Through: s.revision}
 		for _, i := range s.items {
 			b.Items = append(b.Items, i)
 		}
@@ -314,7 +316,7 @@
 		}
 		return
 	}
-	if f.Since < s.compactedThrough {
+	if f.Since < s.compactedThrough || f.Since > s.revision {
 		deliver(2*storeDelay, &StoreFailed{Err: errors.New("gone"), HistoryLost: true})
 		return
 	}
@@ -339,7 +341,7 @@
 }
 
 func (s *store) since(r catalog.Revision) catalog.Batch {
-	b := catalog.Batch{Since: r, Through: s.revision}
+	b := catalog.Batch{Era: s.era, Since: r, Through: s.revision}
 	for _, i := range s.history {
 		if i.Revision > r {
 			b.Items = append(b.Items, i)
@@ -366,6 +368,33 @@
 	}
 }
 
+// storeCopy is the content of the store at some time.
+type storeCopy struct {
+	items    map[string]catalog.Item
+	history  []catalog.Item
+	revision catalog.Revision
+}
+
+func (w *world) copyStore() storeCopy {
+	return storeCopy{maps.Clone(w.store.items), slices.Clone(w.store.history), w.store.revision}
+}
+
+// restoreStore takes the store down for a time, after which it has the content of a
+// copy. Waiting reads fail.
+func (w *world) restoreStore(c storeCopy, outage time.Duration) {
+	s := &w.store
+	s.down = true
+	waiters := s.waiters
+	s.waiters = nil
+	for _, answer := range waiters {
+		answer()
+	}
+	w.advance(outage)
+	s.items, s.history, s.revision = maps.Clone(c.items), slices.Clone(c.history), c.revision
+	s.era++
+	s.down = false
+}
+
 // partitionDataCentres cuts the data centres off from each other.
 func (w *world) partitionDataCentres() {
 	w.cutOff = func(a, b *node) bool { return a.dc != b.dc }
