Order revisions by the era of the store

Cause: the catalog held the revision of the store for a counter that only rises. A store that is restored from a copy gives revisions out again; instances dropped the new changes as older (changed=0 stale=1 in the log), and a reader watched from a revision that the store does not have, 47 full reads a second.

Revisions belong to an era now, the number of restores, which each response of the store names. Positions (era, revision) compare in this order wherever the position of a catalog is compared: watches, fetches, heartbeats, relays. A watch answered in another era, and pages of two eras, ask for a full read.

The content of the copy counts as the newest now, so that the configuration goes back to an older version until the operator writes again.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -5,6 +5,7 @@
 package catalog
 
 import (
+	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
@@ -28,6 +29,18 @@
 // out the revisions after that of the copy again, for other changes.
 type Era uint64
 
+// Position is a point in the history of the store. Positions compare by era, then by
+// revision. The zero value precedes all changes.
+type Position struct {
+	Era      Era
+	Revision Revision
+}
+
+// Before reports whether p precedes q.
+func (p Position) Before(q Position) bool {
+	return p.Era < q.Era || p.Era == q.Era && p.Revision < q.Revision
+}
+
 // WorkKind classifies the requests of a route by how often they may run and how large
 // their responses are. The zero value, Once, is the most cautious.
 type WorkKind uint8
@@ -103,6 +116,13 @@
 	Started time.Time
 }
 
+// equal reports whether two upstreams have the same fields.
+func (u *Upstream) equal(v *Upstream) bool {
+	a, b := *u, *v
+	a.Started, b.Started = time.Time{}, time.Time{}
+	return a == b && u.Started.Equal(v.Started)
+}
+
 // Item is the newest value of one key. At most one of Configuration, Upstream and
 // DataCentreOut is set; if none is, the key is deleted.
 type Item struct {
@@ -130,6 +150,9 @@
 	Snapshot bool
 }
 
+// Position returns the position up to which the batch is complete.
+func (b *Batch) Position() Position { return Position{b.Era, b.Through} }
+
 // Change is the result of applying a batch to a Catalog.
 type Change struct {
 	// Items are the items that changed, ordered by revision.
@@ -150,19 +173,44 @@
 // use. It is not safe for concurrent use.
 type Catalog struct {
 	items map[string]*entry
+	// era is the era of all revisions below and of the items.
+	era Era
 	// through is the revision up to which the catalog is complete.
 	through Revision
-	// purged is the highest revision of a deletion that has been forgotten.
+	// purged is the highest revision of a deletion that is not held.
 	purged Revision
 }
 
 // Through returns the revision up to which the catalog is complete.
 func (c *Catalog) Through() Revision { return c.through }
 
+// Position returns the position up to which the catalog is complete.
+func (c *Catalog) Position() Position { return Position{c.era, c.through} }
+
 // Apply stores the items of a batch that are newer than those held. It stores them
 // even if there is a gap between the catalog and the batch, since each is newer than
-// the one it replaces.
+// the one it replaces. Revisions of different eras are not comparable: a batch of an
+// earlier era changes nothing, and only a snapshot of a later one is applied, which
+// replaces the whole content.
 func (c *Catalog) Apply(now time.Time, b Batch) Change {
+	var change Change
+	switch {
+	case b.Era < c.era:
+		return Change{Stale: len(b.Items), Connected: true}
+	case b.Era > c.era && !b.Snapshot:
+		return change
+	case b.Era > c.era:
+		change.Items = c.replace(now, &b)
+		change.Connected = true
+	default:
+		change = c.merge(now, &b)
+	}
+	slices.SortStableFunc(change.Items, func(x, y Item) int { return cmp.Compare(x.Revision, y.Revision) })
+	return change
+}
+
+// merge applies a batch of the catalog's era.
+func (c *Catalog) merge(now time.Time, b *Batch) Change {
 	if c.items == nil {
 		c.items = make(map[string]*entry)
 	}
@@ -176,23 +224,51 @@
 		}
 	}
 	if b.Snapshot {
-		change.Items = append(change.Items, c.deleteUnlisted(now, &b)...)
+		change.Items = append(change.Items, c.deleteUnlisted(now, b)...)
 	}
-	slices.SortStableFunc(change.Items, func(x, y Item) int { return compare(x.Revision, y.Revision) })
 	if change.Connected = b.Snapshot || b.Since <= c.through; change.Connected {
 		c.through = max(c.through, b.Through)
 	}
 	return change
 }
 
-func compare(x, y Revision) int {
+// replace adopts a snapshot of a later era and returns the items whose value differs
+// from the one held.
+func (c *Catalog) replace(now time.Time, b *Batch) []Item {
+	held := c.items
+	c.era, c.through, c.purged = b.Era, b.Through, b.Through
+	c.items = make(map[string]*entry, len(b.Items))
+	var changed []Item
+	for i := range b.Items {
+		item := &b.Items[i]
+		c.items[item.Key] = &entry{item: *item, knownSince: now}
+		if h, ok := held[item.Key]; !ok || !h.item.sameValue(item) {
+			changed = append(changed, *item)
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(held)) {
+		if _, listed := c.items[key]; listed || held[key].item.Deleted() {
+			continue
+		}
+		deleted := Item{Key: key, Revision: b.Through}
+		c.items[key] = &entry{item: deleted, knownSince: now}
+		changed = append(changed, deleted)
+	}
+	return changed
+}
+
+// sameValue reports whether two items of a key have the same value. Configurations
+// are told apart by their versions.
+func (i *Item) sameValue(j *Item) bool {
 	switch {
-	case x < y:
-		return -1
-	case x > y:
-		return 1
+	case i.Deleted() || j.Deleted():
+		return i.Deleted() && j.Deleted()
+	case i.Configuration != nil:
+		return j.Configuration != nil && i.Configuration.Version == j.Configuration.Version
+	case i.Upstream != nil:
+		return j.Upstream != nil && i.Upstream.equal(j.Upstream)
 	default:
-		return 0
+		return i.DataCentreOut == j.DataCentreOut
 	}
 }
 
@@ -231,20 +307,18 @@
 	return deleted
 }
 
-// ChangesSince returns the changes after a revision, or a snapshot if deletions after it
-// have been forgotten.
-func (c *Catalog) ChangesSince(r Revision) Batch {
-	b := Batch{Since: r, Through: c.through, Snapshot: r == 0 || r < c.purged}
+// ChangesSince returns the changes after a position, or a snapshot if it is in another
+// era or deletions after it have been forgotten.
+func (c *Catalog) ChangesSince(p Position) Batch {
+	r := p.Revision
+	b := Batch{Era: c.era, Since: r, Through: c.through, Snapshot: r == 0 || r < c.purged || p.Era != c.era}
 	for _, h := range c.items {
 		if b.Snapshot && !h.item.Deleted() || !b.Snapshot && h.item.Revision > r {
 			b.Items = append(b.Items, h.item)
 		}
 	}
 	slices.SortFunc(b.Items, func(x, y Item) int {
-		if d := compare(x.Revision, y.Revision); d != 0 {
-			return d
-		}
-		return strings.Compare(x.Key, y.Key)
+		return cmp.Or(cmp.Compare(x.Revision, y.Revision), strings.Compare(x.Key, y.Key))
 	})
 	return b
 }
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -69,10 +69,10 @@
 	if changed := c.Apply(at(3), Batch{Since: 3, Through: 4, Items: []Item{upstream("a", 4, 1)}}).Items; len(changed) != 0 {
 		t.Errorf("older item undid a forgotten deletion: %v", keysOf(changed))
 	}
-	if b := c.ChangesSince(4); !b.Snapshot {
+	if b := c.ChangesSince(Position{Revision: 4}); !b.Snapshot {
 		t.Error("changes since before a forgotten deletion are not a snapshot")
 	}
-	if b := c.ChangesSince(5); b.Snapshot || len(b.Items) != 0 {
+	if b := c.ChangesSince(Position{Revision: 5}); b.Snapshot || len(b.Items) != 0 {
 		t.Errorf("changes since the newest revision: %d items, snapshot %t; want 0, false", len(b.Items), b.Snapshot)
 	}
 }
@@ -99,7 +99,7 @@
 			case 2:
 				other := &catalogs[rapid.IntRange(0, len(catalogs)-1).Draw(t, "other")]
 				if other != c {
-					c.Apply(at(float64(step)), other.ChangesSince(c.Through()))
+					c.Apply(at(float64(step)), other.ChangesSince(c.Position()))
 				}
 			}
 		}
--- a/internal/tokenrouter/dump.go
+++ b/internal/tokenrouter/dump.go
@@ -16,6 +16,7 @@
 type Dump struct {
 	Ready       bool           `json:"ready"`
 	Version     uint64         `json:"configuration-version"`
+	Era         uint64         `json:"store-era"`
 	Through     uint64         `json:"through-revision"`
 	Reads       bool           `json:"reads-the-store"`
 	Routes      int            `json:"routes"`
@@ -33,6 +34,7 @@
 	DataCentre string `json:"data-centre"`
 	Live       bool   `json:"live"`
 	Reads      bool   `json:"reads-the-store"`
+	Era        uint64 `json:"store-era"`
 	Through    uint64 `json:"through-revision"`
 	LastHeard  string `json:"heard-ago"`
 }
@@ -53,7 +55,7 @@
 // Dump returns the state of the instance at the time now.
 func (rt *Router) Dump(now time.Time) Dump {
 	d := Dump{
-		Ready: rt.Ready(), Through: uint64(rt.catalog.Through()), Reads: rt.reader.readsStore, Routes: len(rt.routes),
+		Ready: rt.Ready(), Era: uint64(rt.catalog.Position().Era), Through: uint64(rt.catalog.Through()), Reads: rt.reader.readsStore, Routes: len(rt.routes),
 		CutOff: rt.cutOff, QueuedFlows: rt.coordination.queue.Len(), Counts: rt.counts,
 	}
 	if i, ok := rt.catalog.Get(catalog.KeyConfiguration); ok && i.Configuration != nil {
@@ -65,7 +67,7 @@
 	slices.Sort(d.Out)
 	for _, p := range rt.roster.peers {
 		d.Peers = append(d.Peers, PeerDump{
-			p.address.String(), p.dataCentre, rt.roster.live(now, p), rt.roster.reads(now, p), p.through, now.Sub(p.heard).String(),
+			p.address.String(), p.dataCentre, rt.roster.live(now, p), rt.roster.reads(now, p), uint64(p.through.Era), uint64(p.through.Revision), now.Sub(p.heard).String(),
 		})
 	}
 	slices.SortFunc(d.Peers, func(a, b PeerDump) int { return strings.Compare(a.Address, b.Address) })
--- a/internal/tokenrouter/event.go
+++ b/internal/tokenrouter/event.go
@@ -86,8 +86,8 @@
 type Message struct {
 	DataCentre string
 	Leaving    bool
-	// Through is the revision up to which the sender's catalog is complete.
-	Through catalog.Revision
+	// Through is the position up to which the sender's catalog is complete.
+	Through catalog.Position
 	// Reads is true while the sender reads the platform's store successfully.
 	Reads bool
 	// Hello announces that the sender has just started. It requests an answer with
@@ -215,7 +215,7 @@
 	// Refuse resets the flow from Source to Destination.
 	Refuse
 	// ReadStore reads the changes after Since from the platform's store, or its
-	// full content if Since is zero. The store may wait up to Wait for the first
+	// full content if Since is the zero Position. The store may wait up to Wait for the first
 	// change. Each request fails after Timeout. The result is a StoreRead or
 	// StoreFailed event.
 	ReadStore
@@ -263,7 +263,7 @@
 	Raw            []byte
 	Source         netip.AddrPort
 	Destination    netip.AddrPort
-	Since          catalog.Revision
+	Since          catalog.Position
 	Wait           time.Duration
 	Timeout        time.Duration
 	Peer           netip.AddrPort
--- a/internal/tokenrouter/heartbeat.go
+++ b/internal/tokenrouter/heartbeat.go
@@ -151,7 +151,7 @@
 	for _, o := range rt.roster.outbox {
 		m := o.message
 		m.DataCentre, m.Leaving = rt.config.DataCentre, rt.stopping
-		m.Through, m.Reads, m.CutOff = rt.catalog.Through(), rt.reader.readsStore, rt.silentDataCentres
+		m.Through, m.Reads, m.CutOff = rt.catalog.Position(), rt.reader.readsStore, rt.silentDataCentres
 		rt.attachReports(o.peer, m)
 		rt.emit(Effect{Kind: SendMessage, Peer: o.peer.address, Message: m})
 	}
@@ -212,8 +212,10 @@
 	} else {
 		p.readAt, p.quitAt = time.Time{}, now
 	}
-	p.through = uint64(m.Through)
-	rt.reader.maxRevision = max(rt.reader.maxRevision, m.Through)
+	p.through = m.Through
+	if rt.reader.newest.Before(m.Through) {
+		rt.reader.newest = m.Through
+	}
 	r.noteHeard(now, m.DataCentre)
 	if !live {
 		rt.logHeard(p)
--- a/internal/tokenrouter/relay.go
+++ b/internal/tokenrouter/relay.go
@@ -18,7 +18,7 @@
 // relay is the duty to pass changes on to other instances.
 type relay struct {
 	targets []netip.AddrPort
-	through catalog.Revision
+	through catalog.Position
 	until   time.Time
 }
 
@@ -54,7 +54,7 @@
 func (rt *Router) stalePeers(now time.Time, dataCentre string) []*peer {
 	var list []*peer
 	for _, p := range rt.ordered() {
-		if p.through < uint64(rt.catalog.Through()) && (dataCentre == "" || p.dataCentre == dataCentre) {
+		if p.through.Before(rt.catalog.Position()) && (dataCentre == "" || p.dataCentre == dataCentre) {
 			list = append(list, p)
 		}
 	}
@@ -73,7 +73,7 @@
 // relayChanges passes changes on, or keeps the duty until this catalog contains
 // them.
 func (rt *Router) relayChanges(now time.Time, m *Message) {
-	if rt.catalog.Through() < m.Through {
+	if rt.catalog.Position().Before(m.Through) {
 		rt.roster.relays = append(rt.roster.relays, relay{m.Relay, m.Through, now.Add(relayTimeout)})
 		return
 	}
@@ -85,7 +85,7 @@
 func (rt *Router) relayIfDue(now time.Time) {
 	r := &rt.roster
 	r.relays = slices.DeleteFunc(r.relays, func(d relay) bool {
-		arrived := rt.catalog.Through() >= d.through
+		arrived := !rt.catalog.Position().Before(d.through)
 		if arrived {
 			rt.relayTo(now, d.targets, nil)
 		}
@@ -95,7 +95,7 @@
 
 func (rt *Router) relayTo(now time.Time, targets []netip.AddrPort, news *catalog.Batch) {
 	for _, a := range targets {
-		if p := rt.addPeer(a); p != nil && p.through < uint64(rt.catalog.Through()) {
+		if p := rt.addPeer(a); p != nil && p.through.Before(rt.catalog.Position()) {
 			m := rt.messageTo(p)
 			m.News, m.Readers = news, rt.nameReaders(now, p)
 		}
--- a/internal/tokenrouter/roster.go
+++ b/internal/tokenrouter/roster.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/zeebo/xxh3"
+
+	"github.com/chervilhaven/chervilhaven/internal/catalog"
 )
 
 const (
@@ -106,8 +108,8 @@
 	// when it last said that it does not.
 	readAt time.Time
 	quitAt time.Time
-	// through is the revision up to which its catalog is complete.
-	through uint64
+	// through is the position up to which its catalog is complete.
+	through catalog.Position
 	// fetchFailedAt is when a fetch from it last failed.
 	fetchFailedAt time.Time
 	// missedAsks counts consecutive unanswered Asks, missedProbes consecutive
--- a/internal/tokenrouter/router.go
+++ b/internal/tokenrouter/router.go
@@ -122,9 +122,9 @@
 // Next returns the time at which the caller must pass a Tick to Apply.
 func (rt *Router) Next() time.Time { return rt.next }
 
-// CatalogSince returns the catalog changes after a revision, to answer a peer's
+// CatalogSince returns the catalog changes after a position, to answer a peer's
 // fetch.
-func (rt *Router) CatalogSince(since catalog.Revision) catalog.Batch {
+func (rt *Router) CatalogSince(since catalog.Position) catalog.Batch {
 	return rt.catalog.ChangesSince(since)
 }
 
--- a/internal/tokenrouter/sync.go
+++ b/internal/tokenrouter/sync.go
@@ -85,9 +85,8 @@
 	// store.
 	shortageSince time.Time
 	fetching      bool
-	// maxRevision is the highest revision up to which any peer's catalog was
-	// complete.
-	maxRevision catalog.Revision
+	// newest is the latest position up to which any peer's catalog was complete.
+	newest catalog.Position
 	// behindSince is the time since which a peer is known to have a newer
 	// catalog.
 	behindSince time.Time
@@ -106,8 +105,8 @@
 		r.next = now.Add(readerStagger)
 		return
 	}
-	since := rt.catalog.Through()
-	if r.fullReadNeeded || since == 0 {
+	since := rt.catalog.Position()
+	if r.fullReadNeeded || since.Revision == 0 {
 		r.reading = true
 		rt.emit(Effect{Kind: ReadStore, Timeout: min(fullReadTimeout<<min(r.failures, 2), maxFullReadTimeout)})
 		return
@@ -231,28 +230,32 @@
 		rt.counts.Malformed += uint64(n)
 		rt.log("entries-malformed", "entries", strconv.Itoa(n), "first", v.Malformed[0].Error(), "through", revision(v.Batch.Through))
 	}
-	through := rt.catalog.Through()
+	held := rt.catalog.Position()
 	change := rt.catalog.Apply(now, v.Batch)
-	rt.noteStoreEra(through, v, &change)
+	rt.noteStoreEra(held, v, &change)
 	r.heard = now
 	r.fullReadNeeded = !change.Connected
 	rt.applyItems(now, "store", change.Items)
-	if rt.catalog.Through() > through {
+	if v.Batch.Snapshot {
+		// A store that refuses a watch after each full read is not read in a loop.
+		r.next = now.Add(minReadInterval)
+	}
+	if held.Before(rt.catalog.Position()) {
 		r.next = now.Add(minReadInterval)
 		rt.broadcastChanges(now, change.Items, &v.Batch)
 	}
 }
 
 // noteStoreEra logs a read of the store in another era than the last one, and what
-// came of its items. held is the revision up to which the catalog was complete.
-func (rt *Router) noteStoreEra(held catalog.Revision, v *StoreRead, change *catalog.Change) {
+// came of its items. held is the position up to which the catalog was complete.
+func (rt *Router) noteStoreEra(held catalog.Position, v *StoreRead, change *catalog.Change) {
 	r := &rt.reader
 	rt.counts.Stale += uint64(change.Stale)
 	if r.heard.IsZero() || r.era == v.Batch.Era {
 		r.era = v.Batch.Era
 		return
 	}
-	rt.log("store-era-changed", "era", era(v.Batch.Era), "before", era(r.era), "through", revision(v.Batch.Through), "held", revision(held),
+	rt.log("store-era-changed", "era", era(v.Batch.Era), "before", era(r.era), "through", revision(v.Batch.Through), "held", position(held),
 		"items", strconv.Itoa(len(v.Batch.Items)), "changed", strconv.Itoa(len(change.Items)), "stale", strconv.Itoa(change.Stale))
 	r.era = v.Batch.Era
 }
@@ -261,7 +264,7 @@
 // into a datagram are left for them to fetch. Those of the same data centre learn of
 // a whole read directly: they may be waiting for it to start.
 func (rt *Router) broadcastChanges(now time.Time, changed []catalog.Item, b *catalog.Batch) {
-	changes := &catalog.Batch{Items: changed, Since: b.Since, Through: b.Through}
+	changes := &catalog.Batch{Era: b.Era, Items: changed, Since: b.Since, Through: b.Through}
 	if b.Snapshot || len(changed) > maxDatagramItems {
 		changes = nil
 	}
@@ -302,7 +305,7 @@
 		return
 	}
 	var p *peer
-	if r.maxRevision > rt.catalog.Through() {
+	if rt.catalog.Position().Before(r.newest) {
 		p = rt.pickFetchPeer(now)
 	}
 	if p == nil {
@@ -324,7 +327,7 @@
 		return
 	}
 	r.fetching, r.nextFetch = true, now.Add(fetchDelay)
-	rt.emit(Effect{Kind: Fetch, Peer: p.address, Since: rt.catalog.Through(), Timeout: fetchTimeout})
+	rt.emit(Effect{Kind: Fetch, Peer: p.address, Since: rt.catalog.Position(), Timeout: fetchTimeout})
 }
 
 // pickFetchPeer returns a live peer with a newer catalog, preferably one in the
@@ -334,7 +337,7 @@
 	var best *peer
 	equals := 0
 	for _, p := range rt.roster.peers {
-		if p.through <= uint64(rt.catalog.Through()) || !rt.roster.live(now, p) || now.Sub(p.fetchFailedAt) < fetchTimeout {
+		if !rt.catalog.Position().Before(p.through) || !rt.roster.live(now, p) || now.Sub(p.fetchFailedAt) < fetchTimeout {
 			continue
 		}
 		near := p.dataCentre == rt.config.DataCentre
--- a/internal/tokenrouter/sync_test.go
+++ b/internal/tokenrouter/sync_test.go
@@ -181,7 +181,7 @@
 	w.advance(2 * time.Second)
 	n := w.nodes[0]
 	for _, p := range w.nodes[1:] {
-		n.apply(&MessageReceived{From: p.address, Message: &Message{DataCentre: "a", Through: 1000}})
+		n.apply(&MessageReceived{From: p.address, Message: &Message{DataCentre: "a", Through: catalog.Position{Revision: 1000}}})
 	}
 	first := n.router.pickFetchPeer(w.now)
 	n.apply(&FetchFailed{From: first.address, Err: errors.New("no answer")})
--- a/internal/tokenrouter/upstream.go
+++ b/internal/tokenrouter/upstream.go
@@ -99,7 +99,7 @@
 func (rt *Router) applyItems(now time.Time, source string, changed []catalog.Item) {
 	each := len(changed) <= maxLoggedItems
 	if !each {
-		rt.log("items-changed", "items", strconv.Itoa(len(changed)), "source", source, "through", revision(rt.catalog.Through()))
+		rt.log("items-changed", "items", strconv.Itoa(len(changed)), "source", source, "through", position(rt.catalog.Position()))
 	}
 	for i := range changed {
 		c := &changed[i]
@@ -232,6 +232,9 @@
 
 func revision(r catalog.Revision) string { return strconv.FormatUint(uint64(r), 10) }
 
+// position returns a position as ERA/REVISION.
+func position(p catalog.Position) string { return era(p.Era) + "/" + revision(p.Revision) }
+
 func era(e catalog.Era) string { return strconv.FormatUint(uint64(e), 10) }
 
 // sortedNumbers returns the numbers of all known upstreams in ascending order.
--- a/internal/tokenrouter/world_test.go
+++ b/internal/tokenrouter/world_test.go
@@ -303,7 +303,8 @@
 		deliver(wait, &StoreFailed{Err: errors.New("store unavailable")})
 		return
 	}
-	if f.Since == 0 {
+	since := f.Since.Revision
+	if since == 0 {
 		b := catalog.Batch{Era: s.era, Snapshot: true, Through: s.revision}
 		for _, i := range s.items {
 			b.Items = append(b.Items, i)
@@ -316,7 +317,7 @@
 		}
 		return
 	}
-	if f.Since < s.compactedThrough || f.Since > s.revision {
+	if since < s.compactedThrough || since > s.revision || f.Since.Era != s.era {
 		deliver(2*storeDelay, &StoreFailed{Err: errors.New("gone"), HistoryLost: true})
 		return
 	}
@@ -330,9 +331,9 @@
 			deliver(f.Timeout, &StoreFailed{Err: errors.New("store unavailable")})
 			return
 		}
-		deliver(storeDelay, &StoreRead{Batch: s.since(f.Since)})
+		deliver(storeDelay, &StoreRead{Batch: s.since(since)})
 	}
-	if f.Since < s.revision {
+	if since < s.revision {
 		answer()
 		return
 	}
--- a/internal/tokenserver/convert.go
+++ b/internal/tokenserver/convert.go
@@ -69,7 +69,7 @@
 
 func messageToProto(m *tokenrouter.Message) *edgev1.Message {
 	p := &edgev1.Message{
-		DataCentre: m.DataCentre, Leaving: m.Leaving, Through: uint64(m.Through), Reads: m.Reads, Hello: m.Hello, Answer: uint32(m.Answer), CutOff: m.CutOff,
+		DataCentre: m.DataCentre, Leaving: m.Leaving, Era: uint64(m.Through.Era), Through: uint64(m.Through.Revision), Reads: m.Reads, Hello: m.Hello, Answer: uint32(m.Answer), CutOff: m.CutOff,
 	}
 	for i := range m.Peers {
 		p.Peers = append(p.Peers, peerGroupToProto(&m.Peers[i]))
@@ -102,7 +102,7 @@
 
 func messageFromProto(p *edgev1.Message) *tokenrouter.Message {
 	m := &tokenrouter.Message{
-		DataCentre: p.GetDataCentre(), Leaving: p.GetLeaving(), Through: catalog.Revision(p.GetThrough()),
+		DataCentre: p.GetDataCentre(), Leaving: p.GetLeaving(), Through: catalog.Position{Era: catalog.Era(p.GetEra()), Revision: catalog.Revision(p.GetThrough())},
 		Reads: p.GetReads(), Hello: p.GetHello(), Answer: answerFromProto(p.GetAnswer()), CutOff: p.GetCutOff(),
 	}
 	for _, g := range p.GetPeers() {
@@ -152,7 +152,7 @@
 }
 
 func batchToProto(b *catalog.Batch) *edgev1.Batch {
-	p := &edgev1.Batch{Since: uint64(b.Since), Through: uint64(b.Through), Whole: b.Snapshot}
+	p := &edgev1.Batch{Era: uint64(b.Era), Since: uint64(b.Since), Through: uint64(b.Through), Whole: b.Snapshot}
 	for i := range b.Items {
 		p.Items = append(p.Items, itemToProto(&b.Items[i]))
 	}
@@ -202,7 +202,9 @@
 }
 
 func batchFromProto(p *edgev1.Batch) catalog.Batch {
-	b := catalog.Batch{Since: catalog.Revision(p.GetSince()), Through: catalog.Revision(p.GetThrough()), Snapshot: p.GetWhole()}
+	b := catalog.Batch{
+		Era: catalog.Era(p.GetEra()), Since: catalog.Revision(p.GetSince()), Through: catalog.Revision(p.GetThrough()), Snapshot: p.GetWhole(),
+	}
 	for _, i := range p.GetItems() {
 		item := catalog.Item{Key: i.GetKey(), Revision: catalog.Revision(i.GetRevision())}
 		switch v := i.GetValue().(type) {
--- a/internal/tokenserver/peer.go
+++ b/internal/tokenserver/peer.go
@@ -91,10 +91,10 @@
 // catalog changes.
 type catalogHandler struct{ server *Server }
 
-// Fetch returns the catalog changes after a revision.
+// Fetch returns the catalog changes after a position.
 func (c catalogHandler) Fetch(_ context.Context, r *connect.Request[edgev1.FetchRequest]) (*connect.Response[edgev1.FetchResponse], error) {
 	c.server.mu.Lock()
-	b := c.server.router.CatalogSince(catalog.Revision(r.Msg.GetSince()))
+	b := c.server.router.CatalogSince(catalog.Position{Era: catalog.Era(r.Msg.GetSinceEra()), Revision: catalog.Revision(r.Msg.GetSince())})
 	c.server.mu.Unlock()
 	return connect.NewResponse(&edgev1.FetchResponse{Batch: batchToProto(&b)}), nil
 }
@@ -121,14 +121,14 @@
 	}}}
 }
 
-// fetchCatalog fetches the catalog changes after a revision from a peer and applies
+// fetchCatalog fetches the catalog changes after a position from a peer and applies
 // the result.
-func (s *Server) fetchCatalog(peer netip.AddrPort, since catalog.Revision, timeout time.Duration) {
+func (s *Server) fetchCatalog(peer netip.AddrPort, since catalog.Position, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(s.taskContext, timeout)
 	defer cancel()
 	s.metrics.fetches.Inc()
 	client := edgev1connect.NewCatalogServiceClient(s.fetcher.client, "http://"+peer.String(), connect.WithReadMaxBytes(maxFetchBytes))
-	response, err := client.Fetch(ctx, connect.NewRequest(&edgev1.FetchRequest{Since: uint64(since)}))
+	response, err := client.Fetch(ctx, connect.NewRequest(&edgev1.FetchRequest{Since: uint64(since.Revision), SinceEra: uint64(since.Era)}))
 	if err != nil {
 		s.apply(&tokenrouter.FetchFailed{From: peer, Err: err})
 		return
--- a/internal/tokenserver/server.go
+++ b/internal/tokenserver/server.go
@@ -47,10 +47,10 @@
 // Store is a client of the platform's key-value store. An instance calls it from
 // one goroutine at a time.
 type Store interface {
-	// Read returns the changes after the revision since, and waits for the first one
+	// Read returns the changes after the position since, and waits for the first one
 	// for up to wait. If since is zero, it returns the whole content, in as many
 	// requests as necessary. The timeout applies to each request.
-	Read(ctx context.Context, since catalog.Revision, wait, timeout time.Duration) (tokenrouter.StoreRead, error)
+	Read(ctx context.Context, since catalog.Position, wait, timeout time.Duration) (tokenrouter.StoreRead, error)
 }
 
 // HistoryLost is implemented by errors of a Store. It reports whether the store no
@@ -270,7 +270,7 @@
 }
 
 // readStore reads the platform's store and applies the result.
-func (s *Server) readStore(since catalog.Revision, wait, timeout time.Duration) {
+func (s *Server) readStore(since catalog.Position, wait, timeout time.Duration) {
 	started := time.Now()
 	got, err := s.config.Store.Read(s.taskContext, since, wait, timeout)
 	s.metrics.storeCalls.Inc()
--- a/internal/tokenserver/server_test.go
+++ b/internal/tokenserver/server_test.go
@@ -30,7 +30,7 @@
 // fullBatch returns a snapshot of a catalog with an item of each kind and one
 // deletion.
 func fullBatch() catalog.Batch {
-	return catalog.Batch{Snapshot: true, Since: 0, Through: 7, Items: []catalog.Item{
+	return catalog.Batch{Era: 3, Snapshot: true, Since: 0, Through: 7, Items: []catalog.Item{
 		{Key: catalog.KeyConfiguration, Revision: 3, Configuration: &catalog.Configuration{
 			Version: 9, IdleTimeout: 15 * time.Second, Services: []catalog.Service{{Name: "desk", ColdFor: 2 * time.Second, ColdPerSecond: 12.5}},
 			Routes: []catalog.Route{{
@@ -50,7 +50,7 @@
 func TestMessageRoundTrip(t *testing.T) {
 	b := fullBatch()
 	m := &tokenrouter.Message{
-		DataCentre: "a", Leaving: true, Through: 7, Reads: true, Hello: true, Answer: tokenrouter.PeersMessage, CutOff: []string{"c"},
+		DataCentre: "a", Leaving: true, Through: catalog.Position{Era: 3, Revision: 7}, Reads: true, Hello: true, Answer: tokenrouter.PeersMessage, CutOff: []string{"c"},
 		Peers: []tokenrouter.PeerGroup{{DataCentre: "b", Peers: []tokenrouter.PeerState{
 			{Address: netip.MustParseAddrPort("10.1.0.2:7000"), Age: 20 * time.Millisecond}, {Address: netip.MustParseAddrPort("10.1.0.3:7000"), Age: time.Second, Dead: true},
 		}}},
@@ -72,8 +72,8 @@
 // memoryStore is a Store with one batch. A read of changes fails at its timeout.
 type memoryStore struct{ batch catalog.Batch }
 
-func (m memoryStore) Read(ctx context.Context, since catalog.Revision, _, timeout time.Duration) (tokenrouter.StoreRead, error) {
-	if since == 0 {
+func (m memoryStore) Read(ctx context.Context, since catalog.Position, _, timeout time.Duration) (tokenrouter.StoreRead, error) {
+	if since.Revision == 0 {
 		return tokenrouter.StoreRead{Batch: m.batch}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -203,7 +203,7 @@
 	peer := a.config.Router.Self
 	b.mu.Unlock()
 	go func() {
-		b.fetchCatalog(peer, 0, 5*time.Second)
+		b.fetchCatalog(peer, catalog.Position{}, 5*time.Second)
 		close(got)
 	}()
 	<-got
