Never replace a configuration by one of a lower version

What callers see: with eras alone, the copy that a store is restored from counts as the newest content.

Positions order what the store gives out, not what operators declared: the copy is later by position and older by content.

Messages name the version, so that an instance fetches a newer configuration from a peer at the same position, and from one of an earlier era.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -191,14 +191,15 @@
 // even if there is a gap between the catalog and the batch, since each is newer than
 // the one it replaces. Revisions of different eras are not comparable: a batch of an
 // earlier era changes nothing, and only a snapshot of a later one is applied, which
-// replaces the whole content.
+// replaces the whole content. Configurations are ordered by their versions in all
+// eras: one that was in force never reverts to an older one.
 func (c *Catalog) Apply(now time.Time, b Batch) Change {
 	var change Change
 	switch {
 	case b.Era < c.era:
-		return Change{Stale: len(b.Items), Connected: true}
+		change = Change{Items: c.newerConfiguration(now, &b), Stale: len(b.Items), Connected: true}
 	case b.Era > c.era && !b.Snapshot:
-		return change
+		change.Items = c.newerConfiguration(now, &b)
 	case b.Era > c.era:
 		change.Items = c.replace(now, &b)
 		change.Connected = true
@@ -236,16 +237,21 @@
 // from the one held.
 func (c *Catalog) replace(now time.Time, b *Batch) []Item {
 	held := c.items
-	c.era, c.through, c.purged = b.Era, b.Through, b.Through
-	c.items = make(map[string]*entry, len(b.Items))
+	*c = Catalog{items: make(map[string]*entry, len(b.Items)), era: b.Era, purged: b.Through}
+	if h, ok := held[KeyConfiguration]; ok && h.item.Configuration != nil {
+		h.item.Revision = 0
+		c.items[KeyConfiguration] = h
+	}
 	var changed []Item
 	for i := range b.Items {
 		item := &b.Items[i]
-		c.items[item.Key] = &entry{item: *item, knownSince: now}
-		if h, ok := held[item.Key]; !ok || !h.item.sameValue(item) {
+		h, ok := held[item.Key]
+		same := ok && h.item.sameValue(item)
+		if c.put(now, item) && !same {
 			changed = append(changed, *item)
 		}
 	}
+	c.through = b.Through
 	for _, key := range slices.Sorted(maps.Keys(held)) {
 		if _, listed := c.items[key]; listed || held[key].item.Deleted() {
 			continue
@@ -275,6 +281,9 @@
 // put stores an item unless the catalog already has that revision or a newer one.
 func (c *Catalog) put(now time.Time, i *Item) bool {
 	h, ok := c.items[i.Key]
+	if ok && h.item.Configuration != nil {
+		return h.putConfiguration(now, i)
+	}
 	if ok && h.item.Revision >= i.Revision {
 		return false
 	}
@@ -287,6 +296,34 @@
 	return true
 }
 
+// putConfiguration replaces the configuration by one of a higher version, or of the
+// same version and a later revision. Deletions are ignored.
+func (e *entry) putConfiguration(now time.Time, i *Item) bool {
+	held := &e.item
+	newer := i.Configuration != nil && cmp.Or(cmp.Compare(i.Configuration.Version, held.Configuration.Version), cmp.Compare(i.Revision, held.Revision)) > 0
+	held.Revision = max(held.Revision, i.Revision)
+	if newer {
+		held.Configuration, e.knownSince = i.Configuration, now
+	}
+	return newer
+}
+
+// newerConfiguration takes over the configuration of a batch of another era if its
+// version is higher than that of the one held.
+func (c *Catalog) newerConfiguration(now time.Time, b *Batch) []Item {
+	h, ok := c.items[KeyConfiguration]
+	if !ok || h.item.Configuration == nil {
+		return nil
+	}
+	for i := range b.Items {
+		if f := b.Items[i].Configuration; f != nil && f.Version > h.item.Configuration.Version {
+			h.item.Configuration, h.knownSince = f, now
+			return []Item{h.item}
+		}
+	}
+	return nil
+}
+
 // deleteUnlisted marks keys that a snapshot does not list as deleted.
 func (c *Catalog) deleteUnlisted(now time.Time, b *Batch) []Item {
 	listed := make(map[string]bool, len(b.Items))
@@ -296,7 +333,7 @@
 	var deleted []Item
 	for _, key := range slices.Sorted(maps.Keys(c.items)) {
 		h := c.items[key]
-		if listed[key] || h.item.Deleted() || h.item.Revision > b.Through {
+		if listed[key] || key == KeyConfiguration || h.item.Deleted() || h.item.Revision > b.Through {
 			continue
 		}
 		i := Item{Key: key, Revision: b.Through}
@@ -323,6 +360,15 @@
 	return b
 }
 
+// ConfigurationVersion returns the version of the configuration, zero if there is
+// none.
+func (c *Catalog) ConfigurationVersion() uint64 {
+	if h, ok := c.items[KeyConfiguration]; ok && h.item.Configuration != nil {
+		return h.item.Configuration.Version
+	}
+	return 0
+}
+
 // Get returns the item of a key. The item may mark a deletion.
 func (c *Catalog) Get(key string) (Item, bool) {
 	if h, ok := c.items[key]; ok {
--- a/internal/catalog/restore_test.go
+++ b/internal/catalog/restore_test.go
@@ -1,9 +1,11 @@
 package catalog
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
 )
 
 func TestSnapshotOfLaterEraReplacesHeldItems(t *testing.T) {
@@ -55,3 +57,121 @@
 		t.Errorf("changes since the catalog's own position: snapshot %t, %d items; want false, 0", b.Snapshot, len(b.Items))
 	}
 }
+
+func configuration(revision Revision, version uint64) Item {
+	return Item{Key: KeyConfiguration, Revision: revision, Configuration: &Configuration{Version: version}}
+}
+
+func TestConfigurationNeverRevertsToOlderVersion(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		batch Batch
+		want  uint64
+	}{
+		{"copy with an older one", Batch{Era: 2, Snapshot: true, Through: 4, Items: []Item{configuration(4, 1)}}, 5},
+		{"copy without any", Batch{Era: 2, Snapshot: true, Through: 4}, 5},
+		{"copy with a newer one at an older revision", Batch{Era: 2, Snapshot: true, Through: 4, Items: []Item{configuration(4, 7)}}, 7},
+		{"changes of a later era with a newer one", Batch{Era: 2, Since: 3, Through: 4, Items: []Item{configuration(4, 7)}}, 7},
+		{"snapshot of an earlier era with a newer one", Batch{Era: 0, Snapshot: true, Through: 4, Items: []Item{configuration(4, 7)}}, 7},
+		{"snapshot of an earlier era with an older one", Batch{Era: 0, Snapshot: true, Through: 4, Items: []Item{configuration(4, 1)}}, 5},
+		{"later revision of an older one", Batch{Era: 1, Since: 9, Through: 10, Items: []Item{configuration(10, 1)}}, 5},
+		{"older revision of a newer one", Batch{Era: 1, Snapshot: true, Through: 8, Items: []Item{configuration(8, 7)}}, 7},
+		{"deletion", Batch{Era: 1, Since: 9, Through: 10, Items: []Item{{Key: KeyConfiguration, Revision: 10}}}, 5},
+		{"snapshot without any", Batch{Era: 1, Snapshot: true, Through: 10}, 5},
+	} {
+		var l Catalog
+		l.Apply(at(0), Batch{Era: 1, Snapshot: true, Through: 9, Items: []Item{configuration(9, 5)}})
+		change := l.Apply(at(1), c.batch)
+		if v := l.ConfigurationVersion(); v != c.want || (len(change.Items) > 0) != (c.want != 5) {
+			t.Errorf("%s: version %d, %d changes; want version %d", c.name, v, len(change.Items), c.want)
+		}
+	}
+}
+
+// simulatedStore is a store that can be restored from each of its earlier states.
+type simulatedStore struct {
+	era     Era
+	history []Item
+	version uint64
+}
+
+func (s *simulatedStore) put(i Item) {
+	i.Revision = Revision(len(s.history) + 1)
+	s.history = append(s.history, i)
+}
+
+func (s *simulatedStore) read(c *Catalog) Batch {
+	through := Revision(len(s.history))
+	if p := c.Position(); p.Era == s.era && p.Revision > 0 {
+		return Batch{Era: s.era, Since: p.Revision, Through: through, Items: s.history[p.Revision:]}
+	}
+	b := Batch{Era: s.era, Snapshot: true, Through: through}
+	for _, i := range newest(s.history) {
+		if !i.Deleted() {
+			b.Items = append(b.Items, i)
+		}
+	}
+	return b
+}
+
+// Catalogs that read a store which is restored from copies, and exchange changes in
+// any order, converge to its content and never revert the configuration.
+func TestCatalogsConvergeAcrossRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := simulatedStore{era: 1}
+		catalogs := make([]Catalog, 3)
+		apply := func(step int, c *Catalog, b Batch) {
+			before := c.ConfigurationVersion()
+			c.Apply(at(float64(step)), b)
+			if after := c.ConfigurationVersion(); after < before {
+				t.Fatalf("step %d: configuration %d replaced %d", step, after, before)
+			}
+		}
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			c := &catalogs[rapid.IntRange(0, len(catalogs)-1).Draw(t, "catalog")]
+			switch rapid.IntRange(0, 4).Draw(t, "action") {
+			case 0:
+				i := Item{Key: PrefixUpstream + rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")}
+				if rapid.Bool().Draw(t, "alive") {
+					i.Upstream = &Upstream{Number: uint64(step)}
+				}
+				s.put(i)
+			case 1:
+				s.version += rapid.Uint64Range(1, 3).Draw(t, "rise")
+				s.put(configuration(0, s.version))
+			case 2:
+				if len(s.history) > 0 {
+					s.history = slices.Clone(s.history[:rapid.IntRange(1, len(s.history)).Draw(t, "copy")])
+					s.era++
+				}
+			case 3:
+				apply(step, c, s.read(c))
+			case 4:
+				other := &catalogs[rapid.IntRange(0, len(catalogs)-1).Draw(t, "other")]
+				since := rapid.SampledFrom([]Position{c.Position(), {}}).Draw(t, "since")
+				if other != c {
+					apply(step, c, other.ChangesSince(since))
+				}
+			}
+		}
+		s.put(configuration(0, s.version+1))
+		for n := range catalogs {
+			c := &catalogs[n]
+			apply(99, c, s.read(c))
+			for _, i := range newest(s.history) {
+				got, ok := c.Get(i.Key)
+				if !ok && i.Deleted() {
+					continue
+				}
+				if !got.sameValue(&i) {
+					t.Fatalf("catalog %d has %+v, the store %+v", n, got, i)
+				}
+			}
+			for key, e := range c.items {
+				if _, ok := newest(s.history)[key]; !ok && !e.item.Deleted() {
+					t.Fatalf("catalog %d has %s, the store does not", n, key)
+				}
+			}
+		}
+	})
+}
--- a/internal/tokenrouter/dump.go
+++ b/internal/tokenrouter/dump.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/chervilhaven/chervilhaven/internal/catalog"
 	"github.com/chervilhaven/chervilhaven/internal/scheduler"
 	"github.com/chervilhaven/chervilhaven/internal/token"
 )
@@ -55,12 +54,9 @@
 // Dump returns the state of the instance at the time now.
 func (rt *Router) Dump(now time.Time) Dump {
 	d := Dump{
-		Ready: rt.Ready(), Era: uint64(rt.catalog.Position().Era), Through: uint64(rt.catalog.Through()), Reads: rt.reader.readsStore, Routes: len(rt.routes),
+		Ready: rt.Ready(), Version: rt.catalog.ConfigurationVersion(), Era: uint64(rt.catalog.Position().Era), Through: uint64(rt.catalog.Through()), Reads: rt.reader.readsStore, Routes: len(rt.routes),
 		CutOff: rt.cutOff, QueuedFlows: rt.coordination.queue.Len(), Counts: rt.counts,
 	}
-	if i, ok := rt.catalog.Get(catalog.KeyConfiguration); ok && i.Configuration != nil {
-		d.Version = i.Configuration.Version
-	}
 	for name := range rt.out {
 		d.Out = append(d.Out, name)
 	}
--- a/internal/tokenrouter/event.go
+++ b/internal/tokenrouter/event.go
@@ -88,6 +88,8 @@
 	Leaving    bool
 	// Through is the position up to which the sender's catalog is complete.
 	Through catalog.Position
+	// Version is the version of the sender's configuration.
+	Version uint64
 	// Reads is true while the sender reads the platform's store successfully.
 	Reads bool
 	// Hello announces that the sender has just started. It requests an answer with
--- a/internal/tokenrouter/heartbeat.go
+++ b/internal/tokenrouter/heartbeat.go
@@ -151,6 +151,7 @@
 	for _, o := range rt.roster.outbox {
 		m := o.message
 		m.DataCentre, m.Leaving = rt.config.DataCentre, rt.stopping
+		m.Version = rt.catalog.ConfigurationVersion()
 		m.Through, m.Reads, m.CutOff = rt.catalog.Position(), rt.reader.readsStore, rt.silentDataCentres
 		rt.attachReports(o.peer, m)
 		rt.emit(Effect{Kind: SendMessage, Peer: o.peer.address, Message: m})
@@ -212,7 +213,8 @@
 	} else {
 		p.readAt, p.quitAt = time.Time{}, now
 	}
-	p.through = m.Through
+	p.through, p.version = m.Through, m.Version
+	rt.reader.newestVersion = max(rt.reader.newestVersion, m.Version)
 	if rt.reader.newest.Before(m.Through) {
 		rt.reader.newest = m.Through
 	}
--- a/internal/tokenrouter/restore_test.go
+++ b/internal/tokenrouter/restore_test.go
@@ -98,3 +98,78 @@
 	w.advance(2 * time.Second)
 	w.expectVersion(5)
 }
+
+// Between the store's return and the operator's second write, the store has an older
+// configuration.
+func TestRestoredStoreDoesNotRevertConfiguration(t *testing.T) {
+	w := newSmallFleet(t, 105)
+	older := w.copyStore()
+	w.configure(5)
+	newest := w.configurationItem()
+	w.advance(3 * time.Second)
+	w.restoreStore(older, 2*time.Second)
+	for range 100 {
+		w.advance(20 * time.Millisecond)
+		w.expectVersion(5)
+	}
+	w.put(newest)
+	w.advance(time.Second)
+	w.expectVersion(5)
+	w.configure(6)
+	w.advance(configurationBound)
+	w.expectVersion(6)
+}
+
+// A data centre that was cut off while the store was restored, and one that still
+// knows a configuration that the others never read.
+func TestDataCentreCutOffDuringRestoreOfStoreCatchesUp(t *testing.T) {
+	w := newSmallFleet(t, 106)
+	older := w.copyStore()
+	w.partitionDataCentres()
+	cutFromStore := w.nodes[3:]
+	for _, n := range cutFromStore {
+		n.storeRefuses, n.storeSilent = true, true
+	}
+	w.configure(5)
+	w.advance(3 * time.Second)
+	w.restoreStore(older, 2*time.Second)
+	w.advance(time.Second)
+	w.configure(8)
+	u := firstServer(w)
+	u.info.Draining = true
+	w.publish(u)
+	w.advance(3 * time.Second)
+	w.healPartition()
+	w.advance(configurationBound)
+	w.expectVersion(8)
+	for _, n := range cutFromStore {
+		if i, _ := n.router.catalog.Get(catalog.PrefixUpstream + u.key); i.Upstream == nil || !i.Upstream.Draining {
+			t.Errorf("%s does not know that an upstream drains", n.name)
+		}
+	}
+}
+
+func TestConfigurationLostByStoreSpreadsFromTheOnlyInstanceThatReadIt(t *testing.T) {
+	w := newSmallFleet(t, 107)
+	older := w.copyStore()
+	only := w.nodes[4]
+	w.cutOff = func(a, b *node) bool { return a == only || b == only }
+	for _, n := range w.nodes {
+		n.storeRefuses = n != only
+	}
+	w.advance(2 * time.Second)
+	w.configure(5)
+	w.advance(time.Second)
+	if v := only.configurationVersion(); v != 5 {
+		t.Fatalf("%s uses version %d, want 5", only.name, v)
+	}
+	only.storeRefuses = true
+	w.restoreStore(older, time.Second)
+	for _, n := range w.nodes {
+		n.storeRefuses = n == only
+	}
+	w.advance(2 * time.Second)
+	w.healPartition()
+	w.advance(configurationBound)
+	w.expectVersion(5)
+}
--- a/internal/tokenrouter/roster.go
+++ b/internal/tokenrouter/roster.go
@@ -110,6 +110,8 @@
 	quitAt time.Time
 	// through is the position up to which its catalog is complete.
 	through catalog.Position
+	// version is the version of its configuration.
+	version uint64
 	// fetchFailedAt is when a fetch from it last failed.
 	fetchFailedAt time.Time
 	// missedAsks counts consecutive unanswered Asks, missedProbes consecutive
--- a/internal/tokenrouter/sync.go
+++ b/internal/tokenrouter/sync.go
@@ -87,6 +87,8 @@
 	fetching      bool
 	// newest is the latest position up to which any peer's catalog was complete.
 	newest catalog.Position
+	// newestVersion is the highest version of any peer's configuration.
+	newestVersion uint64
 	// behindSince is the time since which a peer is known to have a newer
 	// catalog.
 	behindSince time.Time
@@ -305,7 +307,7 @@
 		return
 	}
 	var p *peer
-	if rt.catalog.Position().Before(r.newest) {
+	if rt.catalog.Position().Before(r.newest) || rt.catalog.ConfigurationVersion() < r.newestVersion {
 		p = rt.pickFetchPeer(now)
 	}
 	if p == nil {
@@ -327,7 +329,12 @@
 		return
 	}
 	r.fetching, r.nextFetch = true, now.Add(fetchDelay)
-	rt.emit(Effect{Kind: Fetch, Peer: p.address, Since: rt.catalog.Position(), Timeout: fetchTimeout})
+	since := rt.catalog.Position()
+	if !since.Before(p.through) {
+		// Only the whole content has a configuration that the store has lost.
+		since = catalog.Position{}
+	}
+	rt.emit(Effect{Kind: Fetch, Peer: p.address, Since: since, Timeout: fetchTimeout})
 }
 
 // pickFetchPeer returns a live peer with a newer catalog, preferably one in the
@@ -337,7 +344,7 @@
 	var best *peer
 	equals := 0
 	for _, p := range rt.roster.peers {
-		if !rt.catalog.Position().Before(p.through) || !rt.roster.live(now, p) || now.Sub(p.fetchFailedAt) < fetchTimeout {
+		if !rt.isBehind(p) || !rt.roster.live(now, p) || now.Sub(p.fetchFailedAt) < fetchTimeout {
 			continue
 		}
 		near := p.dataCentre == rt.config.DataCentre
@@ -353,6 +360,12 @@
 	return best
 }
 
+// isBehind reports whether a peer has a later catalog or a newer configuration. A
+// restored store may lack the newest configuration until operators write it again.
+func (rt *Router) isBehind(p *peer) bool {
+	return rt.catalog.Position().Before(p.through) || rt.catalog.ConfigurationVersion() < p.version
+}
+
 // topRankedLocally reports whether this instance is the highest ranked live
 // instance of its data centre.
 func (rt *Router) topRankedLocally(now time.Time) bool {
--- a/internal/tokenrouter/sync_test.go
+++ b/internal/tokenrouter/sync_test.go
@@ -13,11 +13,7 @@
 // configurationVersion returns the version of the configuration in effect at an
 // instance.
 func (n *node) configurationVersion() uint64 {
-	i, ok := n.router.catalog.Get(catalog.KeyConfiguration)
-	if !ok {
-		return 0
-	}
-	return i.Configuration.Version
+	return n.router.catalog.ConfigurationVersion()
 }
 
 // activeReaders returns the number of running instances that read the store.
--- a/internal/tokenserver/convert.go
+++ b/internal/tokenserver/convert.go
@@ -69,7 +69,7 @@
 
 func messageToProto(m *tokenrouter.Message) *edgev1.Message {
 	p := &edgev1.Message{
-		DataCentre: m.DataCentre, Leaving: m.Leaving, Era: uint64(m.Through.Era), Through: uint64(m.Through.Revision), Reads: m.Reads, Hello: m.Hello, Answer: uint32(m.Answer), CutOff: m.CutOff,
+		DataCentre: m.DataCentre, Leaving: m.Leaving, Version: m.Version, Era: uint64(m.Through.Era), Through: uint64(m.Through.Revision), Reads: m.Reads, Hello: m.Hello, Answer: uint32(m.Answer), CutOff: m.CutOff,
 	}
 	for i := range m.Peers {
 		p.Peers = append(p.Peers, peerGroupToProto(&m.Peers[i]))
@@ -102,7 +102,7 @@
 
 func messageFromProto(p *edgev1.Message) *tokenrouter.Message {
 	m := &tokenrouter.Message{
-		DataCentre: p.GetDataCentre(), Leaving: p.GetLeaving(), Through: catalog.Position{Era: catalog.Era(p.GetEra()), Revision: catalog.Revision(p.GetThrough())},
+		DataCentre: p.GetDataCentre(), Leaving: p.GetLeaving(), Version: p.GetVersion(), Through: catalog.Position{Era: catalog.Era(p.GetEra()), Revision: catalog.Revision(p.GetThrough())},
 		Reads: p.GetReads(), Hello: p.GetHello(), Answer: answerFromProto(p.GetAnswer()), CutOff: p.GetCutOff(),
 	}
 	for _, g := range p.GetPeers() {
--- a/internal/tokenserver/server_test.go
+++ b/internal/tokenserver/server_test.go
@@ -50,7 +50,7 @@
 func TestMessageRoundTrip(t *testing.T) {
 	b := fullBatch()
 	m := &tokenrouter.Message{
-		DataCentre: "a", Leaving: true, Through: catalog.Position{Era: 3, Revision: 7}, Reads: true, Hello: true, Answer: tokenrouter.PeersMessage, CutOff: []string{"c"},
+		DataCentre: "a", Leaving: true, Through: catalog.Position{Era: 3, Revision: 7}, Version: 9, Reads: true, Hello: true, Answer: tokenrouter.PeersMessage, CutOff: []string{"c"},
 		Peers: []tokenrouter.PeerGroup{{DataCentre: "b", Peers: []tokenrouter.PeerState{
 			{Address: netip.MustParseAddrPort("10.1.0.2:7000"), Age: 20 * time.Millisecond}, {Address: netip.MustParseAddrPort("10.1.0.3:7000"), Age: time.Second, Dead: true},
 		}}},
