--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -177,7 +177,7 @@
 	era Era
 	// through is the revision up to which the catalog is complete.
 	through Revision
-	// purged is the highest revision of a deletion that is not held.
+	// purged is the revision up to which deletions may be missing.
 	purged Revision
 }
 
@@ -226,6 +226,7 @@
 	}
 	if b.Snapshot {
 		change.Items = append(change.Items, c.deleteUnlisted(now, b)...)
+		c.purged = max(c.purged, b.Through)
 	}
 	if change.Connected = b.Snapshot || b.Since <= c.through; change.Connected {
 		c.through = max(c.through, b.Through)
@@ -287,9 +288,9 @@
 	if ok && h.item.Revision >= i.Revision {
 		return false
 	}
-	if !ok && i.Revision <= c.through && !i.Deleted() {
-		// The catalog is complete up to this revision and would hold the key. The
-		// key has been deleted since and the deletion forgotten.
+	if i.Revision <= c.through && !i.Deleted() && (!ok || h.item.Deleted()) {
+		// The catalog is complete up to this revision and would hold the item. The
+		// key has been deleted since, by a deletion that may be missing.
 		return false
 	}
 	c.items[i.Key] = &entry{item: *i, knownSince: now}
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -108,13 +108,24 @@
 			c.Apply(at(99), Batch{Since: c.Through(), Through: Revision(len(store)), Items: store[min(int(c.Through()), len(store)):]})
 			for _, i := range newest(store) {
 				got, ok := c.Get(i.Key)
-				if !ok && i.Deleted() {
+				if i.Deleted() {
+					if ok && !got.Deleted() {
+						t.Fatalf("catalog %d has the deleted %s", n, i.Key)
+					}
 					continue
 				}
 				if d := cmp.Diff(i, got, cmpopts.EquateComparable(netip.AddrPort{})); d != "" {
 					t.Fatalf("catalog %d (-store +catalog):\n%s", n, d)
 				}
 			}
+			for _, i := range store {
+				late := c.Apply(at(99), Batch{Since: i.Revision - 1, Through: i.Revision, Items: []Item{i}})
+				for _, changed := range late.Items {
+					if !changed.Deleted() {
+						t.Fatalf("catalog %d took over %s at the past revision %d", n, i.Key, i.Revision)
+					}
+				}
+			}
 		}
 	})
 }
@@ -126,3 +137,14 @@
 	}
 	return m
 }
+
+// A catalog that got a snapshot lacks the deletions that precede it.
+func TestSnapshotDoesNotHideDeletionsFromOthers(t *testing.T) {
+	var behind, fresh Catalog
+	behind.Apply(at(0), Batch{Snapshot: true, Through: 3, Items: []Item{upstream("a", 3, 1)}})
+	fresh.Apply(at(0), Batch{Snapshot: true, Through: 4})
+	change := behind.Apply(at(1), fresh.ChangesSince(behind.Position()))
+	if d := cmp.Diff([]string{"upstream/a@4"}, keysOf(change.Items)); d != "" {
+		t.Errorf("changed keys (-want +got):\n%s", d)
+	}
+}
