Give writers time to repeat what a restored store has lost

What callers may see: flows opened at upstreams that had drained or ended and in data centres that were out, until their writers write again; warm upstreams treated as cold.

The eras share their history up to the copy, so that an item at a revision not below the one held is newer, and so is a later start of an upstream, or its drain. The others, and keys that are missing, are reverted items: the router leaves in effect what it has, until they are written again or their writers have had the time to: 2.2 s for entries that are missing, as after an outage, else the lease of an entry and 1 s, by when the store has dropped entries that nobody writes. Another restore starts that time over.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -157,6 +157,11 @@
 type Change struct {
 	// Items are the items that changed, ordered by revision.
 	Items []Item
+	// Restored is true if the batch is the first one of a later era. Reverted are the
+	// items of it that may precede those held before: the store has them from a copy,
+	// or lacks them, and their writers may be about to write them again.
+	Restored bool
+	Reverted []Item
 	// Stale counts the items that are older than those held.
 	Stale int
 	// Connected is false if there is a gap between the catalog and the batch.
@@ -201,15 +206,18 @@
 	case b.Era > c.era && !b.Snapshot:
 		change.Items = c.newerConfiguration(now, &b)
 	case b.Era > c.era:
-		change.Items = c.replace(now, &b)
-		change.Connected = true
+		change = c.replace(now, &b)
 	default:
 		change = c.merge(now, &b)
 	}
-	slices.SortStableFunc(change.Items, func(x, y Item) int { return cmp.Compare(x.Revision, y.Revision) })
+	sortByRevision(change.Items)
 	return change
 }
 
+func sortByRevision(items []Item) {
+	slices.SortStableFunc(items, func(x, y Item) int { return cmp.Compare(x.Revision, y.Revision) })
+}
+
 // merge applies a batch of the catalog's era.
 func (c *Catalog) merge(now time.Time, b *Batch) Change {
 	if c.items == nil {
@@ -234,22 +242,27 @@
 	return change
 }
 
-// replace adopts a snapshot of a later era and returns the items whose value differs
-// from the one held.
-func (c *Catalog) replace(now time.Time, b *Batch) []Item {
+// replace adopts a snapshot of a later era. The changes are the items whose value
+// differs from the one held. The eras share their history up to the copy, so that an
+// item at a revision below that of the one held is older or was written again.
+func (c *Catalog) replace(now time.Time, b *Batch) Change {
+	change := Change{Restored: true, Connected: true}
 	held := c.items
 	*c = Catalog{items: make(map[string]*entry, len(b.Items)), era: b.Era, purged: b.Through}
 	if h, ok := held[KeyConfiguration]; ok && h.item.Configuration != nil {
 		h.item.Revision = 0
 		c.items[KeyConfiguration] = h
 	}
-	var changed []Item
 	for i := range b.Items {
 		item := &b.Items[i]
 		h, ok := held[item.Key]
 		same := ok && h.item.sameValue(item)
-		if c.put(now, item) && !same {
-			changed = append(changed, *item)
+		switch {
+		case !c.put(now, item) || same:
+		case ok && !item.follows(&h.item):
+			change.Reverted = append(change.Reverted, *item)
+		default:
+			change.Items = append(change.Items, *item)
 		}
 	}
 	c.through = b.Through
@@ -259,9 +272,21 @@
 		}
 		deleted := Item{Key: key, Revision: b.Through}
 		c.items[key] = &entry{item: deleted, knownSince: now}
-		changed = append(changed, deleted)
+		change.Reverted = append(change.Reverted, deleted)
+	}
+	sortByRevision(change.Reverted)
+	return change
+}
+
+// follows reports whether an item of a later era is certain to be newer than one of
+// the same key held before. An upstream that drains does so until it restarts.
+func (i *Item) follows(held *Item) bool {
+	if u, h := i.Upstream, held.Upstream; u != nil && h != nil {
+		if u.Started.After(h.Started) || u.Draining && u.Started.Equal(h.Started) {
+			return true
+		}
 	}
-	return changed
+	return i.Configuration != nil || i.Revision >= held.Revision
 }
 
 // sameValue reports whether two items of a key have the same value. Configurations
--- a/internal/tokenrouter/dump.go
+++ b/internal/tokenrouter/dump.go
@@ -22,6 +22,7 @@
 	Out         []string       `json:"data-centres-out"`
 	CutOff      []string       `json:"data-centres-cut-off"`
 	QueuedFlows int            `json:"flows-waiting"`
+	Deferred    int            `json:"items-deferred"`
 	Peers       []PeerDump     `json:"peers"`
 	Upstreams   []UpstreamDump `json:"upstreams"`
 	Counts      Counts         `json:"counts"`
@@ -55,7 +56,7 @@
 func (rt *Router) Dump(now time.Time) Dump {
 	d := Dump{
 		Ready: rt.Ready(), Version: rt.catalog.ConfigurationVersion(), Era: uint64(rt.catalog.Position().Era), Through: uint64(rt.catalog.Through()), Reads: rt.reader.readsStore, Routes: len(rt.routes),
-		CutOff: rt.cutOff, QueuedFlows: rt.coordination.queue.Len(), Counts: rt.counts,
+		CutOff: rt.cutOff, QueuedFlows: rt.coordination.queue.Len(), Deferred: len(rt.deferred), Counts: rt.counts,
 	}
 	for name := range rt.out {
 		d.Out = append(d.Out, name)
--- a/internal/tokenrouter/router.go
+++ b/internal/tokenrouter/router.go
@@ -30,6 +30,9 @@
 	// FlowLifetime is the age at which a flow may be discarded. State of removed
 	// upstreams is kept for that long, and for one minute at least.
 	FlowLifetime time.Duration
+	// EntryLease is the time without a write after which the store drops the entry of
+	// an upstream.
+	EntryLease time.Duration
 	// SlowLink makes the instance leave the first read of the store to others for a
 	// moment, as a whole read over its link takes longer than a fetch from a peer.
 	SlowLink bool
@@ -47,7 +50,10 @@
 	routes    map[netip.AddrPort]catalog.Route
 	// out holds the names of the data centres that operators took out of service.
 	// Their upstreams get no new flows.
-	out                 map[string]bool
+	out map[string]bool
+	// deferred holds the keys of items that a restored store reverted and the times at
+	// which they take effect unless they are written again.
+	deferred            map[string]time.Time
 	roster              roster
 	reader              reader
 	openings            openings
@@ -74,6 +80,7 @@
 	rt := &Router{config: c, random: rand.New(rand.NewPCG(c.Seed, c.Seed^0x9e3779b97f4a7c15))}
 	rt.scheduler.Random = rt.random
 	rt.out = make(map[string]bool)
+	rt.deferred = make(map[string]time.Time)
 	rt.roster.dataCentres = make(map[string]*dataCentreState)
 	rt.roster.peers = make(map[netip.AddrPort]*peer)
 	rt.coordination.requesters, rt.coordination.assignment = make(map[uint64]requester), make(map[uint64]assignment)
@@ -149,6 +156,7 @@
 	}
 	rt.scheduleTick(rt.nextDataCentreCheck)
 	rt.expireDoubtful(now)
+	rt.applyDeferred(now)
 	rt.readIfDue(now)
 	rt.fetchIfDue(now)
 	rt.relayIfDue(now)
--- a/internal/tokenrouter/sync.go
+++ b/internal/tokenrouter/sync.go
@@ -67,9 +67,8 @@
 	reading bool
 	// readsStore is true if the last read succeeded.
 	readsStore bool
-	// heard is when the store last answered, era its era then.
+	// heard is when the store last answered.
 	heard time.Time
-	era   catalog.Era
 	// next is when to read next, or to check again whether this instance should
 	// read.
 	next    time.Time
@@ -232,12 +231,11 @@
 		rt.counts.Malformed += uint64(n)
 		rt.log("entries-malformed", "entries", strconv.Itoa(n), "first", v.Malformed[0].Error(), "through", revision(v.Batch.Through))
 	}
-	held := rt.catalog.Position()
-	change := rt.catalog.Apply(now, v.Batch)
-	rt.noteStoreEra(held, v, &change)
 	r.heard = now
+	held := rt.catalog.Position()
+	change := rt.applyBatch(now, "store", &v.Batch)
+	rt.counts.Stale += uint64(change.Stale)
 	r.fullReadNeeded = !change.Connected
-	rt.applyItems(now, "store", change.Items)
 	if v.Batch.Snapshot {
 		// A store that refuses a watch after each full read is not read in a loop.
 		r.next = now.Add(minReadInterval)
@@ -248,20 +246,6 @@
 	}
 }
 
-// noteStoreEra logs a read of the store in another era than the last one, and what
-// came of its items. held is the position up to which the catalog was complete.
-func (rt *Router) noteStoreEra(held catalog.Position, v *StoreRead, change *catalog.Change) {
-	r := &rt.reader
-	rt.counts.Stale += uint64(change.Stale)
-	if r.heard.IsZero() || r.era == v.Batch.Era {
-		r.era = v.Batch.Era
-		return
-	}
-	rt.log("store-era-changed", "era", era(v.Batch.Era), "before", era(r.era), "through", revision(v.Batch.Through), "held", position(held),
-		"items", strconv.Itoa(len(v.Batch.Items)), "changed", strconv.Itoa(len(change.Items)), "stale", strconv.Itoa(change.Stale))
-	r.era = v.Batch.Era
-}
-
 // broadcastChanges informs all peers that are behind. Changes that do not fit
 // into a datagram are left for them to fetch. Those of the same data centre learn of
 // a whole read directly: they may be waiting for it to start.
@@ -296,7 +280,7 @@
 
 // handleChanges applies changes that a peer sent.
 func (rt *Router) handleChanges(now time.Time, from *peer, b *catalog.Batch) {
-	rt.applyItems(now, from.address.String(), rt.catalog.Apply(now, *b).Items)
+	rt.applyBatch(now, from.address.String(), b)
 }
 
 // fetchIfDue fetches from a peer with a newer catalog, unless the changes arrive
@@ -398,7 +382,7 @@
 // handleFetched applies the catalog items fetched from a peer.
 func (rt *Router) handleFetched(now time.Time, v *Fetched) {
 	rt.reader.fetching = false
-	rt.applyItems(now, v.From.String(), rt.catalog.Apply(now, v.Batch).Items)
+	rt.applyBatch(now, v.From.String(), &v.Batch)
 	if from, ok := rt.roster.peers[v.From]; ok && from.dataCentre != rt.config.DataCentre {
 		rt.notifyNeighbours(now)
 	}
