Do not search all peers for a catalog that no live peer has

The search forgets what no live peer has; those that are ahead say so at 4 Hz. The test fails on the commit before.

--- a/internal/tokenrouter/sync.go
+++ b/internal/tokenrouter/sync.go
@@ -295,6 +295,8 @@
 		p = rt.pickFetchPeer(now)
 	}
 	if p == nil {
+		// Peers that are still ahead say so in their next message.
+		r.newest, r.newestVersion = rt.catalog.Position(), rt.catalog.ConfigurationVersion()
 		r.behindSince = time.Time{}
 		return
 	}
--- a/internal/tokenrouter/sync_test.go
+++ b/internal/tokenrouter/sync_test.go
@@ -298,3 +298,17 @@
 		}
 	}
 }
+
+// A search of all peers for each packet is too slow in a large fleet.
+func TestCatalogOfDeadPeerIsNotSearchedForEver(t *testing.T) {
+	for _, m := range []Message{{DataCentre: "a", Through: catalog.Position{Revision: 1000}}, {DataCentre: "a", Version: 1000}} {
+		w := newSmallFleet(t, 12)
+		n, dead := w.nodes[0], w.nodes[1]
+		n.apply(&MessageReceived{From: dead.address, Message: &m})
+		dead.kill()
+		w.advance(3 * time.Second)
+		if r := &n.router.reader; n.router.catalog.Position().Before(r.newest) || n.router.catalog.ConfigurationVersion() < r.newestVersion {
+			t.Errorf("position %+v and version %d of a dead peer are still searched for", r.newest, r.newestVersion)
+		}
+	}
+}
--- a/internal/tokenrouter/upstream.go
+++ b/internal/tokenrouter/upstream.go
@@ -99,7 +99,7 @@
 func (rt *Router) applyItems(now time.Time, source string, changed []catalog.Item) {
 	each := len(changed) <= maxLoggedItems
 	if !each {
-		rt.log("items-changed", "items", strconv.Itoa(len(changed)), "source", source, "through", position(rt.catalog.Position()))
+		rt.log("items-changed", "items", strconv.Itoa(len(changed)), "source", source, "through", revision(rt.catalog.Through()))
 	}
 	for i := range changed {
 		c := &changed[i]
