Never pass a part of the store's changes for all of them

Path: 45 upstreams drain at 21.51 s. One reader reads them at 21.518, too many for a datagram, so that its peers are to fetch them. The other reader fetches them at 21.600 while its own read since revision 664 is under way, and that read returns them once more with a few later changes. It sent only what was new to itself, as changes since 664. Instances that had not fetched yet took this for all changes since 664: complete by their revision, they lacked the drains until the upstreams ended.

A reader sends the batch as it read it, or, if that is too large, the changes since the position that it held itself, and says so.

Ruled out: news that do not come through (every revision was in all instances within 0.1 s), readers that are stuck (both read on), and a fetch that is incomplete.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -153,6 +153,14 @@
 // Position returns the position up to which the batch is complete.
 func (b *Batch) Position() Position { return Position{b.Era, b.Through} }
 
+// After returns the changes of the batch after a revision.
+func (b *Batch) After(r Revision) Batch {
+	after := *b
+	after.Since = max(b.Since, r)
+	after.Items = slices.DeleteFunc(slices.Clone(b.Items), func(i Item) bool { return i.Revision <= after.Since })
+	return after
+}
+
 // Change is the result of applying a batch to a Catalog.
 type Change struct {
 	// Items are the items that changed, ordered by revision.
--- a/internal/tokenrouter/fleet_test.go
+++ b/internal/tokenrouter/fleet_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/chervilhaven/chervilhaven/internal/catalog"
+
 	"github.com/google/go-cmp/cmp"
 )
 
@@ -334,3 +336,80 @@
 		}
 	}
 }
+
+// A reader that has heard part of a batch from the other reader sends only the rest of
+// it, which must not pass for the whole.
+func TestNewsOfReaderCoversWhatItClaims(t *testing.T) {
+	w := newSmallFleet(t, 120)
+	reader, other := w.nodes[0], w.nodes[1]
+	held := reader.router.catalog.Position()
+	first := catalog.Item{Key: catalog.PrefixUpstream + "i-1", Revision: held.Revision + 1, Upstream: &catalog.Upstream{Number: 1, Service: "desk"}}
+	second := catalog.Item{Key: catalog.PrefixUpstream + "i-2", Revision: held.Revision + 2, Upstream: &catalog.Upstream{Number: 2, Service: "desk"}}
+	var behind catalog.Catalog
+	behind.Apply(w.now, catalog.Batch{Era: held.Era, Snapshot: true, Through: held.Revision})
+	reader.apply(&MessageReceived{From: other.address, Message: &Message{
+		DataCentre: "a", Through: catalog.Position{Era: held.Era, Revision: first.Revision},
+		News: &catalog.Batch{Era: held.Era, Since: held.Revision, Through: first.Revision, Items: []catalog.Item{first}},
+	}})
+	sent := 0
+	for _, f := range reader.router.Apply(w.now, &StoreRead{Batch: catalog.Batch{
+		Era: held.Era, Since: held.Revision, Through: second.Revision, Items: []catalog.Item{first, second},
+	}}) {
+		if f.Kind != SendMessage || f.Message.News == nil {
+			continue
+		}
+		sent++
+		peer := behind
+		peer.Apply(w.now, *f.Message.News)
+		if _, ok := peer.Get(first.Key); !ok && peer.Through() > held.Revision {
+			t.Fatalf("a peer at revision %d counts as complete up to %d without the change at %d", held.Revision, peer.Through(), first.Revision)
+		}
+	}
+	if sent == 0 {
+		t.Error("the reader sent no news")
+	}
+}
+
+// Bursts of changes that do not fit into a datagram, each followed by single ones, while
+// datagrams are lost, instances restart and both readers fail.
+func TestLargeFleetLearnsAllChangesDespiteLoss(t *testing.T) {
+	const bursts, burstSize, singles = 8, 45, 50
+	w := newLargeFleet(t, 122, 17)
+	w.store.maxJitter = 200 * time.Millisecond
+	list := w.addServers("a", bursts*(burstSize+singles), time.Millisecond)
+	w.advance(3 * time.Second)
+	w.messageLoss = 0.05
+	for n, u := range list {
+		u.info.Draining = true
+		w.publish(u)
+		switch at := n % (burstSize + singles); {
+		case at == 0:
+			x := w.nodes[w.random.IntN(len(w.nodes))]
+			x.kill()
+			w.after(300*time.Millisecond, x.start)
+		case at >= burstSize:
+			w.advance(10 * time.Millisecond)
+		}
+	}
+	for _, n := range w.nodes {
+		if n.router.reader.readsStore {
+			n.kill()
+		}
+	}
+	w.configure(2)
+	w.advance(configurationBound)
+	for _, n := range w.nodes {
+		if !n.up {
+			continue
+		}
+		lacking := 0
+		for _, u := range list {
+			if i, _ := n.router.catalog.Get(catalog.PrefixUpstream + u.key); i.Upstream == nil || !i.Upstream.Draining {
+				lacking++
+			}
+		}
+		if lacking > 0 || n.configurationVersion() != 2 {
+			t.Errorf("%s does not know that %d of %d upstreams drain, version %d, catalog through %d of %d", n.name, lacking, len(list), n.configurationVersion(), n.router.catalog.Through(), w.store.revision)
+		}
+	}
+}
--- a/internal/tokenrouter/sync.go
+++ b/internal/tokenrouter/sync.go
@@ -242,16 +242,22 @@
 	}
 	if held.Before(rt.catalog.Position()) {
 		r.next = now.Add(minReadInterval)
-		rt.broadcastChanges(now, change.Items, &v.Batch)
+		rt.broadcastChanges(now, held, &v.Batch)
 	}
 }
 
-// broadcastChanges informs all peers that are behind. Changes that do not fit
-// into a datagram are left for them to fetch. Those of the same data centre learn of
-// a whole read directly: they may be waiting for it to start.
-func (rt *Router) broadcastChanges(now time.Time, changed []catalog.Item, b *catalog.Batch) {
-	changes := &catalog.Batch{Era: b.Era, Items: changed, Since: b.Since, Through: b.Through}
-	if b.Snapshot || len(changed) > maxDatagramItems {
+// broadcastChanges informs all peers that are behind of a batch that the store
+// returned. held is the position of the catalog before it. Peers may lack what this
+// instance held already, so that a part of the batch must not pass for all of it.
+// Changes that do not fit into a datagram are left for them to fetch. Those of the same
+// data centre learn of a whole read directly: they may be waiting for it to start.
+func (rt *Router) broadcastChanges(now time.Time, held catalog.Position, b *catalog.Batch) {
+	changes := b
+	if len(b.Items) > maxDatagramItems {
+		rest := b.After(held.Revision)
+		changes = &rest
+	}
+	if b.Snapshot || len(changes.Items) > maxDatagramItems {
 		changes = nil
 	}
 	if b.Snapshot {
--- a/internal/tokenrouter/world_test.go
+++ b/internal/tokenrouter/world_test.go
@@ -40,6 +40,8 @@
 	callers   []*caller
 	// cutOff reports whether datagrams and calls between two instances are lost.
 	cutOff func(a, b *node) bool
+	// messageLoss is the share of messages between instances that are lost.
+	messageLoss float64
 	// retries makes callers retry once on a new flow.
 	retries bool
 	// asksSent counts the Asks between instances.
@@ -120,6 +122,8 @@
 	// which is free at linkFree.
 	fullReadTime time.Duration
 	linkFree     time.Time
+	// maxJitter bounds the random part of the time that a request takes.
+	maxJitter time.Duration
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
@@ -255,7 +259,7 @@
 		n.bytesSent += messageBytes(f.Message)
 		w.asksSent += len(f.Message.Asks)
 		for _, p := range w.nodes {
-			if p.address != f.Peer || w.cutOff != nil && w.cutOff(n, p) {
+			if p.address != f.Peer || w.cutOff != nil && w.cutOff(n, p) || w.messageLoss > 0 && w.random.Float64() < w.messageLoss {
 				continue
 			}
 			from, m := n.address, *f.Message
@@ -334,12 +338,22 @@
 		}
 		deliver(storeDelay, &StoreRead{Batch: s.since(since)})
 	}
+	if s.maxJitter > 0 {
+		n.w.after(time.Duration(n.w.random.Int64N(int64(s.maxJitter))), func() { s.watch(n.w, since, f.Wait, answer) })
+		return
+	}
+	s.watch(n.w, since, f.Wait, answer)
+}
+
+// watch answers at once if the store has changes after a revision, otherwise at the
+// next change or after the wait.
+func (s *store) watch(w *world, since catalog.Revision, wait time.Duration, answer func()) {
 	if since < s.revision {
 		answer()
 		return
 	}
 	s.waiters = append(s.waiters, answer)
-	n.w.after(f.Wait, answer)
+	w.after(wait, answer)
 }
 
 func (s *store) since(r catalog.Revision) catalog.Batch {
