Restore the store of the soak from copies

The soak brings its store back from a copy up to 15 s old; operators and upstreams write again what was lost within 1.5 s, and only where it differs. It checks the guarantee regress, that nothing covered before: a route that has been in effect for 5 s is refused by no instance while the restored store lacks it.

--- a/internal/fake/kvstore/kvstore.go
+++ b/internal/fake/kvstore/kvstore.go
@@ -4,6 +4,7 @@
 package kvstore
 
 import (
+	"bytes"
 	"encoding/json"
 	"maps"
 	"net"
@@ -130,6 +131,14 @@
 // Put writes a key and returns the revision of the write.
 func (s *Store) Put(key string, value []byte) uint64 { return s.apply(Item{Key: key, Value: value}) }
 
+// Has reports whether a key has a value, which may be nil for any value.
+func (s *Store) Has(key string, value []byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.items[key]
+	return ok && (value == nil || bytes.Equal(i.Value, value))
+}
+
 // Delete writes a tombstone for the key and returns its revision.
 func (s *Store) Delete(key string) uint64 { return s.apply(Item{Key: key, Tombstone: true}) }
 
--- a/internal/soak/event.go
+++ b/internal/soak/event.go
@@ -54,6 +54,7 @@
 		{"store turns some away", false, func(s *Testbed, duration time.Duration) { s.partitionStore(duration) }},
 		{"entries lapse", false, func(s *Testbed, duration time.Duration) { s.expireEntries(duration) }},
 		{"history lost", true, func(s *Testbed, _ time.Duration) { s.store.Compact() }},
+		{"store restored", false, func(s *Testbed, duration time.Duration) { s.restoreStore(duration) }},
 		{"packets lost", false, func(s *Testbed, duration time.Duration) { s.dropPackets(duration) }},
 		{"upstream crashes", false, func(s *Testbed, _ time.Duration) { s.crashUpstream() }},
 		{"upstream drains", true, func(s *Testbed, _ time.Duration) { s.drainUpstream() }},
@@ -98,14 +99,13 @@
 
 // allowedEventKinds returns the kinds of event of the current phase: faults and
 // planned work, or planned work only so that all bounds are checked.
-// Config.Only overrides the phase.
 func (s *Testbed) allowedEventKinds() []eventKind {
 	plannedOnly := time.Since(s.journal.startedAt)%(2*phaseLength) >= phaseLength
 	var list []eventKind
 	for _, d := range allEventKinds() {
 		allowed := d.planned || !plannedOnly
 		if len(s.config.Only) > 0 {
-			allowed = slices.Contains(s.config.Only, d.name)
+			allowed = allowed && slices.Contains(s.config.Only, d.name)
 		}
 		if allowed {
 			list = append(list, d)
@@ -142,6 +142,7 @@
 }
 
 func (s *Testbed) pause(i *instance, duration time.Duration) {
+	i.recordDisturbance(duration)
 	i.signal(syscall.SIGSTOP)
 	s.schedule(duration, func() { i.signal(syscall.SIGCONT) })
 }
@@ -167,6 +168,7 @@
 func (s *Testbed) partitionStore(duration time.Duration) {
 	for _, i := range s.instances {
 		if s.random.IntN(3) == 0 {
+			i.recordDisturbance(duration)
 			i.proxy.SetFaults(fault.Faults{Partition: true})
 			s.schedule(duration, func() { i.proxy.SetFaults(fault.Faults{}) })
 		}
@@ -193,15 +195,19 @@
 	s.schedule(duration, func() { s.fabric.setFaults(0, 0) })
 }
 
+// allUpstreams returns the upstreams that were ever started.
+func (s *Testbed) allUpstreams() []*upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.upstreams)
+}
+
 // activeUpstreams returns the upstreams that have neither crashed nor started to
 // drain.
 func (s *Testbed) activeUpstreams() []*upstream {
-	s.mu.Lock()
-	all := slices.Clone(s.upstreams)
-	s.mu.Unlock()
 	// Lock order: an upstream takes the lock of the testbed while it holds its
 	// own, so s.mu must not be held here.
-	return slices.DeleteFunc(all, func(u *upstream) bool {
+	return slices.DeleteFunc(s.allUpstreams(), func(u *upstream) bool {
 		u.mu.Lock()
 		defer u.mu.Unlock()
 		return u.crashed.Load() || !u.drainingSince.IsZero()
@@ -256,7 +262,7 @@
 func (s *Testbed) addRoute() {
 	s.mu.Lock()
 	a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 1, byte(len(s.everRouted))}), 8443)
-	s.routes[a] = "desk"
+	s.routes[a], s.addedAt[a] = "desk", time.Now()
 	s.mu.Unlock()
 	s.publish()
 	s.schedule(configBound+schedulingTolerance, func() {
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -23,6 +23,8 @@
 	// restartDelay is the time after which the supervisor restarts a process that
 	// has exited.
 	restartDelay = 200 * time.Millisecond
+	// heartbeatInterval is that of the upstreams, as the settings tell it.
+	heartbeatInterval = 1200 * time.Millisecond
 )
 
 // instance is one process of the system under test with its supervisor, which
@@ -42,6 +44,8 @@
 	// exitExpected is set when a signal of the test ends the process.
 	exitExpected bool
 	stopped      bool
+	// disturbedUntil is the end of the last fault that affected this instance.
+	disturbedUntil time.Time
 }
 
 func (i *instance) name() string { return fmt.Sprintf("instance-%d", i.index) }
@@ -63,6 +67,7 @@
 internal-ports = [%d, %d]
 seeds = [%s]
 forwarding-mode = "echo"
+heartbeat-ms = %d
 [listen]
 packets = "%s:%d"
 readiness = "%s:%d"
@@ -71,7 +76,7 @@
 flow-lifetime-s = 60
 [platform]
 address = %q
-`, i.name(), ip, i.dataCentre, peerPort, peerPort+10, strings.Join(list, ","), ip, callerPort, ip, readinessPort, int(terminationGrace.Seconds()), i.proxy.Address())
+`, i.name(), ip, i.dataCentre, peerPort, peerPort+10, strings.Join(list, ","), heartbeatInterval.Milliseconds(), ip, callerPort, ip, readinessPort, int(terminationGrace.Seconds()), i.proxy.Address())
 	return os.WriteFile(i.settings, []byte(content), 0o600)
 }
 
@@ -120,7 +125,7 @@
 		return log.Close()
 	}
 	err = c.Start()
-	i.command = c
+	i.command, i.disturbedUntil = c, time.Now()
 	i.mu.Unlock()
 	if err != nil {
 		return errors.CombineErrors(err, log.Close())
@@ -129,6 +134,23 @@
 	return errors.CombineErrors(err, log.Close())
 }
 
+// recordDisturbance records that a fault affects the instance for a duration.
+func (i *instance) recordDisturbance(duration time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if until := time.Now().Add(duration); until.After(i.disturbedUntil) {
+		i.disturbedUntil = until
+	}
+}
+
+// undisturbedFor reports whether the process has run for the given time, unaffected by
+// faults.
+func (i *instance) undisturbedFor(d time.Duration) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.command != nil && !i.holdDown && time.Since(i.disturbedUntil) > d
+}
+
 // signal sends a signal to the current process, if there is one.
 func (i *instance) signal(s syscall.Signal) {
 	i.mu.Lock()
--- a/internal/soak/journal.go
+++ b/internal/soak/journal.go
@@ -23,6 +23,8 @@
 	guaranteeDataCentreOut = "data-centre-out"
 	// Route changes take effect within configBound.
 	guaranteeConfiguration = "configuration"
+	// Instances never return to an older configuration.
+	guaranteeRegress = "regress"
 	// Cold upstreams receive new flows at a limited rate.
 	guaranteeCold = "cold"
 	// Packets of an established flow reach its upstream.
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -66,6 +66,10 @@
 	outSince map[string]time.Time
 	version  int
 	routes   map[netip.AddrPort]string
+	// addedAt holds the times at which routes were added after the start.
+	addedAt map[netip.AddrPort]time.Time
+	// copies are the last copies of the store, oldest first.
+	copies []*kvstore.Copy
 	// everRouted contains every route of any configuration version.
 	everRouted  map[netip.AddrPort]string
 	lastRequest uint64
@@ -92,7 +96,7 @@
 func Run(ctx context.Context, config Config) (Result, error) {
 	s := &Testbed{
 		config: config, random: rand.New(rand.NewPCG(config.Seed, 7)), journal: &journal{startedAt: time.Now()}, outSince: make(map[string]time.Time),
-		routes: make(map[netip.AddrPort]string), everRouted: make(map[netip.AddrPort]string), done: make(chan struct{}),
+		routes: make(map[netip.AddrPort]string), addedAt: make(map[netip.AddrPort]time.Time), everRouted: make(map[netip.AddrPort]string), done: make(chan struct{}),
 	}
 	defer s.close()
 	if err := s.start(); err != nil { //nolint:contextcheck // The proxies are closed with the testbed.
@@ -108,6 +112,7 @@
 		return err
 	}
 	s.tasks.Go(func() { s.reportStandInError("store", s.store.Serve()) })
+	s.tasks.Go(s.keepCopies)
 	if s.fabric, err = newFabric(); err != nil {
 		return err
 	}
@@ -217,6 +222,15 @@
 
 // publish writes a new version of the whole configuration to the store.
 func (s *Testbed) publish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version += 1 + s.random.IntN(3)
+	s.writeConfiguration()
+}
+
+// writeConfiguration writes the current version of the configuration to the store. The
+// caller holds the lock.
+func (s *Testbed) writeConfiguration() {
 	type route struct {
 		Hostname string `json:"hostname"`
 		Prefix   string `json:"prefix"`
@@ -230,9 +244,6 @@
 		Name string  `json:"name"`
 		Cold float64 `json:"cold-per-s"`
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.version += 1 + s.random.IntN(3)
 	var routes []route
 	for a, name := range s.routes {
 		s.everRouted[a] = name
