--- a/internal/tokenrouter/restore_test.go
+++ b/internal/tokenrouter/restore_test.go
@@ -71,15 +71,7 @@
 	w.configure(5)
 	w.advance(3 * time.Second)
 	w.restoreStore(older, 2*time.Second)
-	before := 0
-	for _, n := range w.nodes {
-		before += n.storeReads
-	}
-	w.advance(5 * time.Second)
-	reads := -before
-	for _, n := range w.nodes {
-		reads += n.storeReads
-	}
+	reads := w.storeReadsDuring(5 * time.Second)
 	// Two readers with one read a second each, and those that try while the readers
 	// are down.
 	if reads > 30 {
--- a/internal/tokenrouter/sync_test.go
+++ b/internal/tokenrouter/sync_test.go
@@ -228,15 +228,7 @@
 
 func TestStoreReadsAreFew(t *testing.T) {
 	w := newSmallFleet(t, 8)
-	before := 0
-	for _, n := range w.nodes {
-		before += n.storeReads
-	}
-	w.advance(20 * time.Second)
-	total := -before
-	for _, n := range w.nodes {
-		total += n.storeReads
-	}
+	total := w.storeReadsDuring(20 * time.Second)
 	// Two readers with one read per second each, plus some reads when a reader
 	// changes.
 	if total > 60 {
@@ -253,15 +245,7 @@
 	w.addServers("a", 1, 10*time.Millisecond)
 	w.startAll()
 	w.advance(time.Second)
-	before := 0
-	for _, n := range w.nodes {
-		before += n.storeReads
-	}
-	w.advance(5 * time.Second)
-	reads := -before
-	for _, n := range w.nodes {
-		reads += n.storeReads
-	}
+	reads := w.storeReadsDuring(5 * time.Second)
 	// Two readers with one read per second each.
 	if reads > 15 {
 		t.Errorf("%d reads of the store in 5 s, want at most 15", reads)
--- a/internal/tokenrouter/world_test.go
+++ b/internal/tokenrouter/world_test.go
@@ -356,6 +356,20 @@
 	w.after(wait, answer)
 }
 
+// storeReadsDuring returns the number of reads of the store in the next d of simulated
+// time.
+func (w *world) storeReadsDuring(d time.Duration) int {
+	total := 0
+	for _, n := range w.nodes {
+		total -= n.storeReads
+	}
+	w.advance(d)
+	for _, n := range w.nodes {
+		total += n.storeReads
+	}
+	return total
+}
+
 func (s *store) since(r catalog.Revision) catalog.Batch {
 	b := catalog.Batch{Era: s.era, Since: r, Through: s.revision}
 	for _, i := range s.history {
