Keep items of a restored store postponed while nobody reads the store

What callers may see: the store goes away again before writers could write what a first restore had lost, and stays away longer than the rest of their time: 22 to 25 flows at each upstream of a data centre that was out, in the test with 6 s.

Cause: the time that writers get ran on while they could not write. It starts over as long as no instance reads the store.

Found by a mutation that no test noticed.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -148,3 +148,20 @@
 		t.Errorf("changed keys (-want +got):\n%s", d)
 	}
 }
+
+func TestAfterClaimsOnlyWhatItHolds(t *testing.T) {
+	b := Batch{Era: 2, Since: 3, Through: 9, Items: []Item{upstream("a", 5, 1), upstream("b", 7, 2)}}
+	for _, c := range []struct {
+		after, since Revision
+		keys         []string
+	}{
+		{2, 3, []string{"upstream/a@5", "upstream/b@7"}},
+		{5, 5, []string{"upstream/b@7"}},
+		{9, 9, nil},
+	} {
+		rest := b.After(c.after)
+		if d := cmp.Diff(c.keys, keysOf(rest.Items)); d != "" || rest.Since != c.since || rest.Through != 9 || rest.Era != 2 {
+			t.Errorf("after %d: since %d through %d, era %d, keys (-want +got):\n%s", c.after, rest.Since, rest.Through, rest.Era, d)
+		}
+	}
+}
--- a/internal/tokenrouter/restore.go
+++ b/internal/tokenrouter/restore.go
@@ -37,11 +37,16 @@
 
 // deferReverted postpones items of a restored store that may precede those in effect,
 // until their writers have had the time to write them again. Items that were already
-// postponed start over, as nobody could write them while the store was away.
+// postponed start over.
 func (rt *Router) deferReverted(now time.Time, reverted []catalog.Item) {
 	for i := range reverted {
 		rt.deferred[reverted[i].Key] = now
 	}
+	rt.restartDeferrals(now)
+}
+
+// restartDeferrals gives the writers of all postponed items their time anew.
+func (rt *Router) restartDeferrals(now time.Time) {
 	for key := range rt.deferred {
 		item := rt.currentItem(key)
 		rt.deferred[key] = now.Add(rt.deferralOf(&item))
@@ -66,12 +71,17 @@
 	return catalog.Item{Key: key}
 }
 
-// applyDeferred puts postponed items into effect that nobody has written again.
+// applyDeferred puts postponed items into effect that nobody has written again. While
+// no instance reads the store, nobody can write.
 func (rt *Router) applyDeferred(now time.Time) {
 	if len(rt.deferred) == 0 || now.Before(rt.nextDeferredCheck) {
 		return
 	}
 	rt.nextDeferredCheck = now.Add(deferredCheckInterval)
+	if !rt.catalogFresh(now) {
+		rt.restartDeferrals(now)
+		return
+	}
 	for _, key := range slices.Sorted(maps.Keys(rt.deferred)) {
 		if now.Before(rt.deferred[key]) {
 			continue
--- a/internal/tokenrouter/restore_test.go
+++ b/internal/tokenrouter/restore_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chervilhaven/chervilhaven/internal/catalog"
+	"github.com/chervilhaven/chervilhaven/internal/scheduler"
 )
 
 // configurationBound is the tightest limit on the delay of a change.
@@ -247,6 +248,11 @@
 	if share := shareInTime(*list); share < 0.99 {
 		t.Errorf("%.4f answered in time, want 0.99", share)
 	}
+	for _, n := range w.nodes {
+		if u := n.router.upstreams.byNumber[gone.info.Number]; n.router.stateOf(u) != scheduler.Closed {
+			t.Errorf("%s may still use the upstream whose entry did not come back", n.name)
+		}
+	}
 	if n := opensSince(gone, known.Add(doubtfulPeriod).Add(100*time.Millisecond)); n != 0 {
 		t.Errorf("%d flows opened at the upstream whose entry did not come back, want 0", n)
 	}
@@ -264,7 +270,13 @@
 	w.restoreStore(older, 2*time.Second)
 	w.advance(2 * time.Second)
 	w.put(out)
-	w.advance(5 * time.Second)
+	w.advance(time.Second)
+	for _, n := range w.nodes {
+		if len(n.router.deferred) > 0 {
+			t.Errorf("%s still postpones what was written again", n.name)
+		}
+	}
+	w.advance(4 * time.Second)
 	for _, u := range w.servers() {
 		if n := opensSince(u, acknowledged); u.info.DataCentre == "a" && n != 0 {
 			t.Errorf("%d flows opened at %s of a data centre that is out, want 0", n, u.key)
@@ -299,8 +311,15 @@
 	}
 }
 
-// A second restore within the time in which the first one is confirmed.
-func TestSecondRestoreOfStoreExtendsConfirmation(t *testing.T) {
+// The store goes away again, and is restored once more, before writers could write what
+// the first restore had lost.
+func TestSecondRestoreOfStoreExtendsDeferral(t *testing.T) {
+	for _, outage := range []time.Duration{time.Second, 2 * time.Second, 6 * time.Second} {
+		t.Run(outage.String(), func(t *testing.T) { playSecondRestore(t, outage) })
+	}
+}
+
+func playSecondRestore(t *testing.T, outage time.Duration) {
 	w := newSmallFleet(t, 113)
 	older := w.copyStore()
 	u := firstServer(w)
@@ -309,11 +328,11 @@
 	w.put(catalog.Item{Key: catalog.PrefixDataCentreOut + "b", DataCentreOut: true})
 	w.configure(5)
 	w.advance(time.Second)
-	list := w.load(60, 14*time.Second)
+	list := w.load(60, 18*time.Second)
 	acknowledged := w.now
 	w.restoreStore(older, 2*time.Second)
 	w.advance(2 * time.Second)
-	w.restoreStore(w.copyStore(), 2*time.Second)
+	w.restoreStore(w.copyStore(), outage)
 	w.advance(2 * time.Second)
 	w.put(catalog.Item{Key: catalog.PrefixDataCentreOut + "b", DataCentreOut: true})
 	w.publish(u)
--- a/internal/tokenrouter/sync_test.go
+++ b/internal/tokenrouter/sync_test.go
@@ -296,3 +296,14 @@
 		}
 	}
 }
+
+// Each watch fails, so that each read is a full one.
+func TestStoreWithoutHistoryIsNotReadInLoop(t *testing.T) {
+	w := newSmallFleet(t, 13)
+	w.store.compactedThrough = w.store.revision + 1000
+	reads := w.storeReadsDuring(5 * time.Second)
+	// Two readers with a watch and a full read in each minReadInterval.
+	if limit := 2 * 2 * int(5*time.Second/minReadInterval); reads > limit {
+		t.Errorf("%d reads in 5 s, want at most %d", reads, limit)
+	}
+}
