--- a/internal/fake/kvstore/kvstore.go
+++ b/internal/fake/kvstore/kvstore.go
@@ -201,9 +201,6 @@
 	compactedRevision uint64
 }
 
-// Revision returns the revision of the last change that the copy contains.
-func (c *Copy) Revision() uint64 { return c.revision }
-
 // Copy returns a copy of the content, for Restore.
 func (s *Store) Copy() *Copy {
 	s.mu.Lock()
