Give responses of the store's stand-in the era of their content

The era was added when the header was written, after the content had been collected: a restore in between gave content of one era the number of the next, which an instance would adopt. The era is taken with the content; error responses carry that of the request's arrival.

--- a/internal/fake/kvstore/kvstore.go
+++ b/internal/fake/kvstore/kvstore.go
@@ -246,13 +246,13 @@
 		if !isSerializable(r) {
 			s.rateLimitedCalls++
 		}
+		w.Header().Set(headerEra, strconv.FormatUint(s.era, 10))
 		faultMode, delay := s.faultMode, s.delay
 		if from, err := netip.ParseAddrPort(r.RemoteAddr); len(s.faultyClients) > 0 && (err != nil || !s.faultyClients[from.Addr()]) {
 			faultMode = NoFault
 		}
 		s.mu.Unlock()
 		s.sleep(r, delay)
-		w = &eraWriter{w, s}
 		switch faultMode {
 		case Unavailable:
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -269,19 +269,6 @@
 	}
 }
 
-// eraWriter adds the era at the time of the response to its header.
-type eraWriter struct {
-	http.ResponseWriter
-	store *Store
-}
-
-func (w *eraWriter) WriteHeader(status int) {
-	w.store.mu.Lock()
-	w.Header().Set(headerEra, strconv.FormatUint(w.store.era, 10))
-	w.store.mu.Unlock()
-	w.ResponseWriter.WriteHeader(status)
-}
-
 func (s *Store) sleep(r *http.Request, d time.Duration) {
 	if d == 0 {
 		return
@@ -297,12 +284,14 @@
 	Items     []Item `json:"items"`
 	MorePages bool   `json:"more-pages"`
 	AsOf      uint64 `json:"as-of"`
+	// era is that of the content. Its header is set with the response.
+	era uint64
 }
 
 func (s *Store) handleRange(w http.ResponseWriter, r *http.Request) {
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
 	s.mu.Lock()
-	response, items := rangeResponse{Items: []Item{}, AsOf: s.revision}, s.items
+	response, items := rangeResponse{Items: []Item{}, AsOf: s.revision, era: s.era}, s.items
 	if s.serializableItems != nil && isSerializable(r) {
 		response.AsOf, items = s.serializableRevision, s.serializableItems
 	}
@@ -317,7 +306,7 @@
 	if len(response.Items) > page {
 		response.Items, response.MorePages = response.Items[:page], true
 	}
-	writeJSON(w, response)
+	writeJSON(w, response.era, response)
 }
 
 // isSerializable reports whether the request is a read that accepts stale data.
@@ -326,6 +315,7 @@
 type watchResponse struct {
 	Events []Item `json:"events"`
 	AsOf   uint64 `json:"as-of"`
+	era    uint64
 }
 
 func (s *Store) handleWatch(w http.ResponseWriter, r *http.Request) {
@@ -344,13 +334,13 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(response.Events) > 0:
-			writeJSON(w, response)
+			writeJSON(w, response.era, response)
 			return
 		}
 		select {
 		case <-changed:
 		case <-deadline:
-			writeJSON(w, response)
+			writeJSON(w, response.era, response)
 			return
 		case <-r.Context().Done():
 			return
@@ -365,7 +355,7 @@
 func (s *Store) changesSince(after uint64, prefix string) (response watchResponse, lost bool, changed chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	response = watchResponse{Events: []Item{}, AsOf: s.revision}
+	response = watchResponse{Events: []Item{}, AsOf: s.revision, era: s.era}
 	for _, i := range s.history {
 		if i.Revision > after && strings.HasPrefix(i.Key, prefix) {
 			response.Events = append(response.Events, i)
@@ -374,8 +364,9 @@
 	return response, after < s.compactedRevision || after > s.revision, s.changed
 }
 
-func writeJSON(w http.ResponseWriter, body any) {
+// writeJSON writes a response whose content is of the given era.
+func writeJSON(w http.ResponseWriter, era uint64, body any) {
+	w.Header().Set(headerEra, strconv.FormatUint(era, 10))
 	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(http.StatusOK)
 	_ = json.NewEncoder(w).Encode(body) // Encoding fails only if the client has disconnected, and it will retry.
 }
