Match grants by flow, so that a restart cannot mix them up

Cause: an Ask and its Grant were matched by a number that each process counts from 1. A grant for an Ask of the previous process placed whatever flow had that number now.

Ruled out: equal hashes of two flows, upstreams under a wrong service.

Change: the hash of the flow identifies an Ask in all processes; there is no number. An upstream of another service is never used, whether it comes from a grant or from an assignment that precedes a change of the route. The log says why a grant was returned. Refused openings no longer stay among the pending Asks.

--- a/internal/tokenrouter/acknowledge.go
+++ b/internal/tokenrouter/acknowledge.go
@@ -86,8 +86,9 @@
 
 // cancelAsk stops the search for a further upstream.
 func (rt *Router) cancelAsk(o *opening) {
-	delete(rt.openings.pendingAsks, o.ask)
-	rt.coordination.queue.Remove(o.id.hash())
+	flow := o.id.hash()
+	delete(rt.openings.pendingAsks, flow)
+	rt.coordination.queue.Remove(flow)
 }
 
 // markUnanswered records that an upstream did not answer an opening that another
--- a/internal/tokenrouter/caller_test.go
+++ b/internal/tokenrouter/caller_test.go
@@ -12,7 +12,7 @@
 )
 
 // server is one simulated upstream. misrouted counts data packets of flows that
-// were not opened here.
+// were not opened here, misplaced opening packets for other services.
 type server struct {
 	w               *world
 	info            catalog.Upstream
@@ -24,6 +24,7 @@
 	flows           map[string]bool
 	openTimes       []time.Time
 	misrouted       int
+	misplaced       int
 }
 
 // caller is one flow with a single request. openedUpstream is the number of the
@@ -61,6 +62,9 @@
 	switch flow.Role(raw[4]) {
 	case flow.RoleOpen:
 		u.openTimes = append(u.openTimes, w.now)
+		if r, ok := n.router.routes[c.destination]; ok && r.Service != u.info.Service {
+			u.misplaced++
+		}
 		w.after(callerDelay, func() { c.handleOpenAnswer(u, t) })
 	case flow.RoleData:
 		if c.openedUpstream != number {
--- a/internal/tokenrouter/choose.go
+++ b/internal/tokenrouter/choose.go
@@ -18,12 +18,8 @@
 	}
 	c := rt.coordinator(now, o.route.Service, o.group)
 	rt.handOffGroup(now, group{o.route.Service, o.group}, c)
-	if o.ask == 0 || c != o.coordinator {
-		rt.openings.ask++
-		o.ask = rt.openings.ask
-	}
 	o.phase, o.coordinator = asking, c
-	rt.openings.pendingAsks[o.ask] = o
+	rt.openings.pendingAsks[o.id.hash()] = o
 	ask := rt.newAsk(now, o)
 	if c == nil {
 		rt.chooseLocally(now, o, &ask)
@@ -38,7 +34,7 @@
 // newAsk returns the request for an upstream that is sent to the coordinator.
 func (rt *Router) newAsk(now time.Time, o *opening) Ask {
 	return Ask{
-		Number: o.ask, Flow: o.id.hash(), Service: o.route.Service, Group: o.group, Avoid: slices.Clone(o.tries), Age: now.Sub(o.opened), Seen: now.Sub(o.lastSeen),
+		Flow: o.id.hash(), Service: o.route.Service, Group: o.group, Avoid: slices.Clone(o.tries), Age: now.Sub(o.opened), Seen: now.Sub(o.lastSeen),
 		Target: o.route.Target, Deadline: o.route.Deadline, Priority: o.route.Priority, Bulk: o.route.Work == catalog.Bulk,
 	}
 }
@@ -56,7 +52,7 @@
 	ask := rt.newAsk(now, o)
 	t := newPendingFlow(now, &ask, rt.config.DataCentre)
 	t.Request.Group, t.WithoutCoordinator = scheduler.AnyGroup, true
-	rt.openings.pendingAsks[o.ask] = o
+	rt.openings.pendingAsks[ask.Flow] = o
 	if number := rt.placeLocally(now, o, &ask, &t); number != 0 {
 		rt.report(now, o.route.Service, Report{Upstream: number, Taken: []Taken{{Flow: ask.Flow}}})
 	}
@@ -65,7 +61,7 @@
 // placeLocally places an opening without asking another instance. If all
 // upstreams are full, the opening waits in the local queue.
 func (rt *Router) placeLocally(now time.Time, o *opening, a *Ask, t *scheduler.PendingFlow) uint64 {
-	number, verdict := rt.allocate(now, requester{nil, a.Number}, a.Flow, t)
+	number, verdict := rt.allocate(now, nil, a.Flow, t)
 	switch verdict {
 	case scheduler.Full:
 		o.phase, o.queued, o.phaseDeadline = asking, true, now.Add(queueRecheckInterval)
@@ -82,7 +78,7 @@
 		}
 	case scheduler.Placed:
 	}
-	delete(rt.openings.pendingAsks, a.Number)
+	delete(rt.openings.pendingAsks, a.Flow)
 	rt.offer(now, o, number)
 	return number
 }
@@ -105,6 +101,7 @@
 		return
 	}
 	rt.refuse(o.id, "no-upstream")
+	rt.cancelAsk(o)
 	delete(rt.openings.flows, o.id)
 }
 
--- a/internal/tokenrouter/coordination.go
+++ b/internal/tokenrouter/coordination.go
@@ -33,13 +33,6 @@
 	queueServeInterval = 20 * time.Millisecond
 )
 
-// requester identifies a pending Ask: the peer that sent it, nil for this
-// instance, and the number of the Ask.
-type requester struct {
-	peer   *peer
-	number uint32
-}
-
 // assignment is the upstream that was granted to a flow.
 type assignment struct {
 	upstream  uint64
@@ -49,8 +42,10 @@
 // coordination is the state for the groups of upstreams that this instance
 // coordinates.
 type coordination struct {
-	queue      scheduler.Queue[uint64]
-	requesters map[uint64]requester
+	queue scheduler.Queue[uint64]
+	// requesters holds the peers that asked for the queued flows, nil for this
+	// instance.
+	requesters map[uint64]*peer
 	// assignment holds recent assignments by flow hash. A retransmitted opening
 	// may reach another instance, which then asks for the same flow.
 	assignment map[uint64]assignment
@@ -101,18 +96,18 @@
 // handleAsk places or queues a flow for another instance and answers it.
 func (rt *Router) handleAsk(now time.Time, p *peer, a *Ask) {
 	t := newPendingFlow(now, a, p.dataCentre)
-	number, verdict := rt.allocate(now, requester{p, a.Number}, a.Flow, &t)
+	number, verdict := rt.allocate(now, p, a.Flow, &t)
 	m := rt.messageTo(p)
-	m.Grants = append(m.Grants, Grant{Number: a.Number, Flow: a.Flow, Upstream: number, Queued: verdict == scheduler.Full})
+	m.Grants = append(m.Grants, Grant{Flow: a.Flow, Upstream: number, Queued: verdict == scheduler.Full})
 }
 
 // allocate places a flow, or queues it if the upstreams are full. A flow that
 // was granted recently gets the same upstream again, whichever instance asks,
-// unless that upstream is to be avoided.
-func (rt *Router) allocate(now time.Time, from requester, flow uint64, t *scheduler.PendingFlow) (uint64, scheduler.Verdict) {
+// unless that upstream is to be avoided or the route has another service now.
+func (rt *Router) allocate(now time.Time, from *peer, flow uint64, t *scheduler.PendingFlow) (uint64, scheduler.Verdict) {
 	s := &rt.coordination
 	if g, ok := s.assignment[flow]; ok {
-		if !slices.Contains(t.Request.Avoid, g.upstream) {
+		if !slices.Contains(t.Request.Avoid, g.upstream) && rt.serves(g.upstream, t.Request.Service) {
 			return g.upstream, scheduler.Placed
 		}
 		delete(s.assignment, flow)
@@ -196,19 +191,19 @@
 }
 
 // sendGrant tells the requester which upstream its flow got.
-func (rt *Router) sendGrant(now time.Time, to requester, flow, number uint64) {
-	if to.peer != nil {
-		m := rt.messageTo(to.peer)
-		m.Grants = append(m.Grants, Grant{Number: to.number, Flow: flow, Upstream: number})
+func (rt *Router) sendGrant(now time.Time, to *peer, flow, number uint64) {
+	if to != nil {
+		m := rt.messageTo(to)
+		m.Grants = append(m.Grants, Grant{Flow: flow, Upstream: number})
 		return
 	}
-	o, ok := rt.openings.pendingAsks[to.number]
+	o, ok := rt.openings.pendingAsks[flow]
 	if !ok {
 		rt.scheduler.FlowMoved(number, flow)
 		return
 	}
-	delete(rt.openings.pendingAsks, to.number)
-	if _, known := rt.upstreams.byNumber[number]; known {
+	delete(rt.openings.pendingAsks, flow)
+	if rt.serves(number, o.route.Service) {
 		rt.offer(now, o, number)
 	} else {
 		rt.chooseWithoutCoordinator(now, o)
@@ -229,7 +224,7 @@
 // grant that cannot be used is returned.
 func (rt *Router) handleGrant(now time.Time, p *peer, g *Grant) {
 	p.missedAsks = 0
-	o, ok := rt.openings.pendingAsks[g.Number]
+	o, ok := rt.openings.pendingAsks[g.Flow]
 	if !ok || o.coordinator != p || o.phase != asking {
 		if !ok || !slices.Contains(o.tries, g.Upstream) {
 			rt.returnGrant(now, g)
@@ -242,10 +237,9 @@
 		o.queued = true
 		return
 	}
-	delete(rt.openings.pendingAsks, g.Number)
-	u, known := rt.upstreams.byNumber[g.Upstream]
-	usable := known && rt.stateOf(u) != scheduler.Closed && !slices.Contains(o.tries, g.Upstream)
-	if !usable || rt.scheduler.IsSuspect(now, g.Upstream) {
+	delete(rt.openings.pendingAsks, g.Flow)
+	if reason := rt.unusable(now, o, g.Upstream); reason != "" {
+		rt.flowLog("grant-returned", o.id, "service", o.route.Service, "upstream", strconv.FormatUint(g.Upstream, 16), "reason", reason)
 		rt.returnGrant(now, g)
 		rt.chooseWithoutCoordinator(now, o)
 		return
@@ -256,6 +250,34 @@
 	rt.offer(now, o, g.Upstream)
 }
 
+// serves reports whether an upstream is known and belongs to a service.
+func (rt *Router) serves(number uint64, service string) bool {
+	u, ok := rt.upstreams.byNumber[number]
+	return ok && u.info.Service == service
+}
+
+// unusable returns why a granted upstream cannot be used for an opening, "" if it
+// can.
+func (rt *Router) unusable(now time.Time, o *opening, number uint64) string {
+	u, known := rt.upstreams.byNumber[number]
+	switch {
+	case number == 0:
+		return "none"
+	case !known:
+		return "unknown"
+	case u.info.Service != o.route.Service:
+		return "other-service"
+	case rt.stateOf(u) == scheduler.Closed:
+		return "closed"
+	case slices.Contains(o.tries, number):
+		return "tried"
+	case rt.scheduler.IsSuspect(now, number):
+		return "suspect"
+	default:
+		return ""
+	}
+}
+
 // returnGrant tells the coordinator that the granted upstream is not used.
 func (rt *Router) returnGrant(now time.Time, g *Grant) {
 	if u, ok := rt.upstreams.byNumber[g.Upstream]; ok {
@@ -273,12 +295,12 @@
 		rt.scheduleTick(o.phaseDeadline)
 		if c := rt.coordinator(now, o.route.Service, o.group); c != o.coordinator {
 			o.queued = false
-			delete(rt.openings.pendingAsks, o.ask)
+			delete(rt.openings.pendingAsks, o.id.hash())
 			rt.choose(now, o)
 		}
 		return
 	}
-	delete(rt.openings.pendingAsks, o.ask)
+	delete(rt.openings.pendingAsks, o.id.hash())
 	rt.counts.UnansweredAsks++
 	if o.coordinator != nil {
 		if o.coordinator.missedAsks++; o.coordinator.missedAsks == maxMissedAsks {
--- a/internal/tokenrouter/event.go
+++ b/internal/tokenrouter/event.go
@@ -150,10 +150,8 @@
 // Ask requests an upstream for a new flow from the coordinator of a group of
 // upstreams.
 type Ask struct {
-	// Number identifies the Ask at its sender; the Grant repeats it.
-	Number uint32
-	// Flow is a hash of the flow's addresses. By it the coordinator recognises a
-	// flow that several instances ask for.
+	// Flow is a hash of the flow's addresses. It identifies the flow in whichever
+	// instance or process asks for it; the Grant repeats it.
 	Flow    uint64
 	Service string
 	// Group is the number of the service's upstream group, which the coordinator
@@ -174,7 +172,6 @@
 // Grant answers an Ask with the number of the upstream for the flow, 0 if none is
 // usable or the flow is queued.
 type Grant struct {
-	Number   uint32
 	Flow     uint64
 	Upstream uint64
 	// Queued is true if the flow waits for a free slot at an upstream.
--- a/internal/tokenrouter/opening.go
+++ b/internal/tokenrouter/opening.go
@@ -105,9 +105,7 @@
 	// is when it was last sent.
 	tries   []uint64
 	offered time.Time
-	// ask is the number of the pending Ask, 0 before the first. coordinator is
-	// the peer it was sent to, nil for this instance.
-	ask         uint32
+	// coordinator is the peer that the latest Ask was sent to, nil for this instance.
 	coordinator *peer
 	// group is the randomly drawn group of upstreams for the flow.
 	group    int
@@ -118,12 +116,13 @@
 	chosen uint64
 }
 
-// openings holds the flows that are being opened. ask is the number of the
-// latest Ask.
+// openings holds the flows that are being opened.
 type openings struct {
-	flows       map[flowID]*opening
-	pendingAsks map[uint32]*opening
-	ask         uint32
+	flows map[flowID]*opening
+	// pendingAsks holds the flows that wait for an upstream, by flow hash. A number
+	// would start anew with each process, so that the answer to an Ask of the process
+	// before could pass for that to another flow.
+	pendingAsks map[uint64]*opening
 	// ackTime and ackDeviation are the smoothed time to a caller's
 	// acknowledgement and its mean deviation (Jacobson 1988).
 	ackTime      time.Duration
--- a/internal/tokenrouter/router.go
+++ b/internal/tokenrouter/router.go
@@ -84,10 +84,10 @@
 	rt.deferred = make(map[string]time.Time)
 	rt.roster.dataCentres = make(map[string]*dataCentreState)
 	rt.roster.peers = make(map[netip.AddrPort]*peer)
-	rt.coordination.requesters, rt.coordination.assignment = make(map[uint64]requester), make(map[uint64]assignment)
+	rt.coordination.requesters, rt.coordination.assignment = make(map[uint64]*peer), make(map[uint64]assignment)
 	rt.coordination.lastCoordinators = make(map[group]*peer)
 	rt.openings.flows = make(map[flowID]*opening)
-	rt.openings.pendingAsks = make(map[uint32]*opening)
+	rt.openings.pendingAsks = make(map[uint64]*opening)
 	return rt
 }
 
--- a/internal/tokenserver/convert.go
+++ b/internal/tokenserver/convert.go
@@ -85,12 +85,12 @@
 	}
 	for _, a := range m.Asks {
 		p.Asks = append(p.Asks, &edgev1.Ask{
-			Number: a.Number, Service: a.Service, Group: uint32(a.Group), Avoid: a.Avoid, AgeMs: milliseconds(a.Age),
+			Service: a.Service, Group: uint32(a.Group), Avoid: a.Avoid, AgeMs: milliseconds(a.Age),
 			TargetMs: milliseconds(a.Target), DeadlineMs: milliseconds(a.Deadline), Priority: uint32(a.Priority), Bulk: a.Bulk, Flow: a.Flow, SeenMs: milliseconds(a.Seen),
 		})
 	}
 	for _, g := range m.Grants {
-		p.Grants = append(p.Grants, &edgev1.Grant{Number: g.Number, Flow: g.Flow, Upstream: g.Upstream, Queued: g.Queued})
+		p.Grants = append(p.Grants, &edgev1.Grant{Flow: g.Flow, Upstream: g.Upstream, Queued: g.Queued})
 	}
 	for _, r := range m.Reports {
 		p.Reports = append(p.Reports, &edgev1.Report{
@@ -120,12 +120,12 @@
 	}
 	for _, a := range p.GetAsks() {
 		m.Asks = append(m.Asks, tokenrouter.Ask{
-			Number: a.GetNumber(), Service: a.GetService(), Group: int(a.GetGroup()), Avoid: a.GetAvoid(), Age: duration(a.GetAgeMs()),
+			Service: a.GetService(), Group: int(a.GetGroup()), Avoid: a.GetAvoid(), Age: duration(a.GetAgeMs()),
 			Target: duration(a.GetTargetMs()), Deadline: duration(a.GetDeadlineMs()), Priority: int(a.GetPriority()), Bulk: a.GetBulk(), Flow: a.GetFlow(), Seen: duration(a.GetSeenMs()),
 		})
 	}
 	for _, g := range p.GetGrants() {
-		m.Grants = append(m.Grants, tokenrouter.Grant{Number: g.GetNumber(), Flow: g.GetFlow(), Upstream: g.GetUpstream(), Queued: g.GetQueued()})
+		m.Grants = append(m.Grants, tokenrouter.Grant{Flow: g.GetFlow(), Upstream: g.GetUpstream(), Queued: g.GetQueued()})
 	}
 	for _, r := range p.GetReports() {
 		m.Reports = append(m.Reports, tokenrouter.Report{
--- a/internal/tokenserver/malformed_test.go
+++ b/internal/tokenserver/malformed_test.go
@@ -63,7 +63,7 @@
 	b := fullBatch()
 	for _, m := range []*tokenrouter.Message{
 		{DataCentre: "a", Hello: true, News: &b},
-		{DataCentre: "b", Asks: []tokenrouter.Ask{{Number: 1, Service: "desk", Group: 1 << 20}}, Grants: []tokenrouter.Grant{{Number: 1, Upstream: 1}}},
+		{DataCentre: "b", Asks: []tokenrouter.Ask{{Service: "desk", Group: 1 << 20}}, Grants: []tokenrouter.Grant{{Upstream: 1}}},
 		{DataCentre: "a", Reports: []tokenrouter.Report{{Upstream: 1, Finished: []uint64{2}, Taken: []tokenrouter.Taken{{Flow: 3}}, Silent: 9}}},
 		{DataCentre: "a", Peers: []tokenrouter.PeerGroup{{Peers: []tokenrouter.PeerState{{Address: netip.MustParseAddrPort("10.0.0.1:0"), Dead: true}}}}},
 	} {
--- a/internal/tokenserver/server_test.go
+++ b/internal/tokenserver/server_test.go
@@ -58,10 +58,10 @@
 		Relay:   []netip.AddrPort{netip.MustParseAddrPort("10.1.0.5:7000")},
 		News:    &b,
 		Asks: []tokenrouter.Ask{{
-			Number: 1, Flow: 2, Service: "desk", Group: 3, Avoid: []uint64{4}, Age: 5 * time.Millisecond, Seen: 6 * time.Millisecond,
+			Flow: 2, Service: "desk", Group: 3, Avoid: []uint64{4}, Age: 5 * time.Millisecond, Seen: 6 * time.Millisecond,
 			Target: 7 * time.Millisecond, Deadline: 8 * time.Millisecond, Priority: 1, Bulk: true,
 		}},
-		Grants:  []tokenrouter.Grant{{Number: 1, Flow: 9, Upstream: 2, Queued: true}},
+		Grants:  []tokenrouter.Grant{{Flow: 9, Upstream: 2, Queued: true}},
 		Reports: []tokenrouter.Report{{Upstream: 1, Finished: []uint64{2}, Moved: []uint64{3, 8}, Taken: []tokenrouter.Taken{{Flow: 4, Age: 20 * time.Millisecond}}, Answered: 5, Unanswered: []uint64{7}, Silent: 6}},
 	}
 	if d := cmp.Diff(m, messageFromProto(messageToProto(m)), compareAddresses); d != "" {
