Keep open flows at their upstream, also at instances that did not open them

Cause: a token names the upstream that the caller last got a packet from. An instance that misses an acknowledgement, because the fabric moved the flow, sends the opening to up to three more upstreams, which repeat their answers for 9 s. That the flow is open was known to an instance that was not asked, and the hedge to one that does not get the flow's packets any more.

Two further ways need no acknowledgement that passes elsewhere: late answers of the first upstream, and the end of the pin after 15 s; the new tests show them.

Change: before its first hedge an instance asks its neighbours, which remember for some seconds the upstream that the first packet of a flow named. A flow that several upstreams may have answered is pinned for its lifetime at all neighbours, and at instances that start. Acknowledgements of upstreams that another instance chose are forwarded, and late copies of opening packets are not placed anew.

Stand-ins: upstreams of the router's tests repeat their answers; the soak has flows with a pause and a delay to callers.

TestHedgedFlowStaysAtAcknowledgedUpstream provokes its hedge 2 ms earlier: a hedge takes 4 ms more now and has to precede the acknowledgement. What it checks is the same.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -16,6 +17,14 @@
 	// flowTimeout is the time after which a caller abandons a flow that has not
 	// completed.
 	flowTimeout = 1400 * time.Millisecond
+	// callerDelay is the one-way delay between callers and instances.
+	callerDelay = 3 * time.Millisecond
+	// Every flow whose request number is a multiple of pausingFlows stays open after
+	// its response and sends a second request after a pause.
+	pausingFlows  = 4
+	minPause      = time.Second
+	pauseRange    = 2 * time.Second
+	pausedTimeout = 4 * time.Second
 	// retransmitInterval is the time after which an unanswered request is
 	// retransmitted, and the initial backoff of an upstream's SYN-ACK.
 	retransmitInterval = 200 * time.Millisecond
@@ -33,7 +42,8 @@
 	lastPort uint16
 }
 
-// flow carries a single request. It is guarded by the lock of its caller.
+// flow carries one request, or two with a pause between them. It is guarded by the
+// lock of its caller.
 type flow struct {
 	caller      *caller
 	source      netip.AddrPort
@@ -43,11 +53,20 @@
 	token       uint32
 	// upstreamNumber is the low 32 bits of the number of the upstream that sent
 	// the SYN-ACK.
-	upstreamNumber   uint32
-	establishedAt    time.Time
-	done             bool
-	onOutcome        func(outcome)
+	upstreamNumber uint32
+	establishedAt  time.Time
+	done           bool
+	// answered is true once the first request was answered, pausing until the second
+	// one is sent.
+	answered  bool
+	pausing   bool
+	onOutcome func(outcome)
+	// misroutedPackets counts the packets that reached other upstreams since the last
+	// one that reached its own, misroutedSince is when the first of them did.
+	// reported is true once they were recorded as a violation.
 	misroutedPackets int
+	misroutedSince   time.Time
+	reported         bool
 }
 
 // outcome is the result of a flow: answered, reset or timed out.
@@ -84,7 +103,13 @@
 	for attempt, delay := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond} {
 		time.AfterFunc(delay, func() { f.sendSyn(uint32(attempt)) })
 	}
-	time.AfterFunc(flowTimeout, func() { f.finish(outcomeTimedOut) })
+	time.AfterFunc(flowTimeout, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if !f.answered {
+			f.finishLocked(outcomeTimedOut)
+		}
+	})
 }
 
 // sendSyn sends a SYN unless the flow is established or has ended.
@@ -98,7 +123,7 @@
 
 func (f *flow) send(p *packet) {
 	p.source, p.destination = f.source, f.destination
-	f.caller.testbed.fabric.forward(p)
+	time.AfterFunc(callerDelay, func() { f.caller.testbed.fabric.forward(p) })
 }
 
 func (f *flow) sendRequest() {
@@ -111,12 +136,43 @@
 func (f *flow) retransmit() {
 	f.caller.mu.Lock()
 	defer f.caller.mu.Unlock()
-	if !f.done {
+	if !f.done && !f.pausing {
 		f.sendRequest()
 		time.AfterFunc(retransmitInterval, f.retransmit)
 	}
 }
 
+// handleResponse ends the flow, or leaves it open for a second request.
+func (f *flow) handleResponse() {
+	if f.answered || f.request%pausingFlows != 0 {
+		f.finishLocked(outcomeAnswered)
+		return
+	}
+	f.answered, f.pausing = true, true
+	f.onOutcome(outcomeAnswered)
+	time.AfterFunc(minPause+rand.N(pauseRange), func() {
+		request := f.caller.testbed.nextRequest()
+		f.caller.mu.Lock()
+		f.request, f.pausing = request, false
+		f.caller.mu.Unlock()
+		f.retransmit()
+	})
+	time.AfterFunc(minPause+pauseRange+pausedTimeout, func() { f.finish(outcomeTimedOut) })
+}
+
+// isMisrouted counts a packet that reached the upstream with the given number and
+// reports whether packets of the flow keep reaching others than its own.
+func (f *flow) isMisrouted(number uint64) bool {
+	if f.establishedAt.IsZero() || f.upstreamNumber == uint32(number) || !f.caller.testbed.upstreamAlive(f.upstreamNumber) {
+		return false
+	}
+	if f.misroutedPackets++; f.misroutedPackets == 1 {
+		f.misroutedSince = time.Now()
+	}
+	justOpened, lasting := time.Since(f.establishedAt) <= misroutedWindow, time.Since(f.misroutedSince) >= misroutedWindow
+	return f.misroutedPackets >= misroutedThreshold && (justOpened || lasting)
+}
+
 // finish ends the flow and reports its outcome. Later calls have no effect.
 func (f *flow) finish(o outcome) {
 	f.caller.mu.Lock()
@@ -133,7 +189,9 @@
 		f.send(&packet{flags: flagFin | flagAck, token: f.token, ack: f.upstreamNumber})
 	}
 	delete(f.caller.flows, f.source.Port())
-	f.onOutcome(o)
+	if !f.answered {
+		f.onOutcome(o)
+	}
 }
 
 // serve reads and handles packets for the caller until the socket is closed.
@@ -178,7 +236,9 @@
 			j.recordViolation(guaranteeMixed, "%s received the response to another request", f.source)
 		}
 		f.token = p.token
-		f.finishLocked(outcomeAnswered)
+		if !f.pausing {
+			f.handleResponse()
+		}
 	}
 }
 
--- a/internal/soak/journal.go
+++ b/internal/soak/journal.go
@@ -37,8 +37,8 @@
 	dataCentreOutBound = 5 * time.Second
 	configBound        = 3 * time.Second
 	// guaranteeFlow is violated if misroutedThreshold packets of a flow reach
-	// other upstreams than its own within misroutedWindow after the flow was
-	// established.
+	// other upstreams than its own, and none its own, within misroutedWindow after the
+	// flow was established or for misroutedWindow.
 	misroutedWindow    = 2 * time.Second
 	misroutedThreshold = 3
 	// A cold upstream may exceed its rate by the factor coldRateTolerance plus
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -284,27 +284,38 @@
 	}
 }
 
-// recordMisrouted counts a packet that reached an upstream other than the one
-// that its flow was established with.
-func (s *Testbed) recordMisrouted(u *upstream, p *packet) {
+// withFlow calls a function with the caller's flow that a packet belongs to, if it has
+// not ended.
+func (s *Testbed) withFlow(p *packet, use func(*flow)) {
 	for _, c := range s.callers {
 		if c.address != p.source.Addr() {
 			continue
 		}
 		c.mu.Lock()
-		f := c.flows[p.source.Port()]
-		violated := false
-		if f != nil && !f.establishedAt.IsZero() && f.upstreamNumber != uint32(u.number) && s.upstreamAlive(f.upstreamNumber) {
-			f.misroutedPackets++
-			violated = f.misroutedPackets >= misroutedThreshold && time.Since(f.establishedAt) <= misroutedWindow
+		if f := c.flows[p.source.Port()]; f != nil {
+			use(f)
 		}
 		c.mu.Unlock()
+	}
+}
+
+// recordRouted records that a packet of a flow reached its own upstream.
+func (s *Testbed) recordRouted(p *packet) {
+	s.withFlow(p, func(f *flow) { f.misroutedPackets = 0 })
+}
+
+// recordMisrouted counts a packet that reached an upstream other than the one
+// that its flow was established with.
+func (s *Testbed) recordMisrouted(u *upstream, p *packet) {
+	s.withFlow(p, func(f *flow) {
 		// With packet loss, a caller may retransmit a packet with the token from a
 		// late response of another upstream.
-		if violated && s.journal.undisturbedFor(0) {
-			s.journal.recordViolation(guaranteeFlow, "%d packets of %s reached %s instead of its own upstream", misroutedThreshold, p.source, u.id)
+		if !f.isMisrouted(u.number) || f.reported || !s.journal.undisturbedFor(0) {
+			return
 		}
-	}
+		f.reported = true
+		s.journal.recordViolation(guaranteeFlow, "%d packets of %s reached %s instead of its own upstream", misroutedThreshold, p.source, u.id)
+	})
 }
 
 // upstreamAlive reports whether an upstream with this number exists and has not
@@ -322,11 +333,15 @@
 
 // openFlowFromRandomCaller opens a flow from a random caller.
 func (s *Testbed) openFlowFromRandomCaller(destination netip.AddrPort, onOutcome func(outcome)) {
+	s.callers[rand.IntN(len(s.callers))].openFlow(destination, s.nextRequest(), onOutcome)
+}
+
+// nextRequest returns the number of a new request.
+func (s *Testbed) nextRequest() uint64 {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.lastRequest++
-	request := s.lastRequest
-	s.mu.Unlock()
-	s.callers[rand.IntN(len(s.callers))].openFlow(destination, request, onOutcome)
+	return s.lastRequest
 }
 
 // generateLoad opens flows at the configured rate until done is closed. Every sixth
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -123,6 +123,7 @@
 	case p.flags&(flagFin|flagReset) != 0:
 		delete(u.flows, p.source)
 	case len(p.data) == requestBytes:
+		u.testbed.recordRouted(p)
 		f.token, f.established = p.token, true
 		u.reply(p, f, flagAck, nil)
 		u.request(p, f)
--- a/internal/tokenrouter/acknowledge.go
+++ b/internal/tokenrouter/acknowledge.go
@@ -32,28 +32,18 @@
 // handleEstablished handles a later packet of a flow whose opening is still
 // held.
 func (rt *Router) handleEstablished(now time.Time, o *opening, p *Packet) {
-	number := o.chosen
-	if number == 0 {
-		u, ok := rt.upstreams.byToken[p.Token]
-		if !ok || !slices.Contains(o.tries, u.info.Number) {
-			rt.counts.UnknownToken++
-			rt.flowLog("unknown-token", o.id, "token", hex(p.Token), "through", revision(rt.catalog.Through()))
-			return
-		}
-		number = u.info.Number
-		if o.phase != opened {
-			rt.handleAck(now, o, number)
-		}
-	}
-	u, ok := rt.upstreams.byNumber[number]
-	if !ok {
-		delete(rt.openings.flows, o.id)
+	u, ok := rt.upstreams.byToken[p.Token]
+	if !ok || u.info.Service != o.route.Service && !slices.Contains(o.tries, u.info.Number) {
+		rt.dropUnknown(o.id, p.Token)
 		return
 	}
+	if o.phase != opened {
+		rt.handleAck(now, o, u.info.Number)
+	}
 	rt.forward(u, p)
 	if p.Role == flow.RoleClose || p.Role == flow.RoleReset {
 		delete(rt.openings.flows, o.id)
-		rt.finishFlow(now, o.id, number)
+		rt.finishFlow(now, o.flow, u.info.Number)
 	}
 }
 
@@ -61,46 +51,61 @@
 // that was offered to several upstreams is pinned to that one, whatever token
 // follows, unless this packet may already carry the token of a later answer.
 func (rt *Router) handleAck(now time.Time, o *opening, number uint64) {
-	rt.counts.Opened++
 	rt.openings.lastAck = now
-	rt.scheduler.RecordAnswer(number)
-	rt.report(now, o.route.Service, Report{Upstream: number, Answered: 1})
-	rt.cancelAsk(o)
-	if len(o.tries) > 1 && now.Sub(o.offered) >= cmp.Or(rt.openings.ackTime, initialAckTime) {
-		o.phase, o.phaseDeadline = opened, now.Add(pinPeriod)
+	rt.pins.noteSeen(now, o.flow, number)
+	if len(o.tries) > 1 && now.Sub(o.offered) >= cmp.Or(rt.openings.ackTime, initialAckTime) && now.Sub(o.firstOffered) >= certainPeriod {
+		rt.recordOpened(now, o, number)
+		o.phase, o.phaseDeadline = opened, now.Add(answerPeriod)
 		return
 	}
-	if len(o.tries) == 1 {
+	known := slices.Contains(o.tries, number)
+	if known && len(o.tries) == 1 {
 		rt.openings.recordAckTime(now.Sub(o.offered))
 		rt.observe(TimeToAcknowledgement, now.Sub(o.offered))
-		delete(rt.openings.flows, o.id)
-		return
 	}
 	for _, t := range o.tries {
-		if t != number {
+		switch {
+		case t == number:
+		case known:
 			rt.markUnanswered(now, o, t)
+		default:
+			// Another instance sent the opening to the upstream that answered.
+			rt.releaseTry(now, o, t)
 		}
 	}
-	o.phase, o.chosen, o.phaseDeadline = opened, number, now.Add(pinPeriod)
+	rt.closeOpening(now, o, number)
+}
+
+// recordOpened records that an upstream answered an opening.
+func (rt *Router) recordOpened(now time.Time, o *opening, number uint64) {
+	rt.counts.Opened++
+	rt.scheduler.RecordAnswer(number)
+	rt.report(now, o.route.Service, Report{Upstream: number, Answered: 1})
+	rt.cancelAsk(o)
+}
+
+// releaseTry stops counting a flow at an upstream that it was offered to.
+func (rt *Router) releaseTry(now time.Time, o *opening, number uint64) {
+	rt.coordination.slotFreed = true
+	rt.scheduler.FlowMoved(number, o.flow)
+	rt.report(now, o.route.Service, Report{Upstream: number, Moved: []uint64{o.flow}})
 }
 
 // cancelAsk stops the search for a further upstream.
 func (rt *Router) cancelAsk(o *opening) {
-	flow := o.id.hash()
-	delete(rt.openings.pendingAsks, flow)
-	rt.coordination.queue.Remove(flow)
+	delete(rt.openings.pendingAsks, o.flow)
+	rt.coordination.queue.Remove(o.flow)
 }
 
 // markUnanswered records that an upstream did not answer an opening that another
 // upstream answered.
 func (rt *Router) markUnanswered(now time.Time, o *opening, number uint64) {
-	flow := o.id.hash()
 	rt.coordination.slotFreed = true
-	rt.scheduler.FlowMoved(number, flow)
+	rt.scheduler.FlowMoved(number, o.flow)
 	if rt.scheduler.RecordFailover(now, number, 1, rt.config.Self.String(), true) {
 		rt.logSuspect(number, rt.config.Self)
 	}
-	rt.report(now, o.route.Service, Report{Upstream: number, Moved: []uint64{flow}, Silent: 1})
+	rt.report(now, o.route.Service, Report{Upstream: number, Moved: []uint64{o.flow}, Silent: 1})
 }
 
 func (rt *Router) logSuspect(number uint64, reporter netip.AddrPort) {
@@ -110,8 +115,7 @@
 }
 
 // finishFlow records the end of a flow and reports it to the coordinator.
-func (rt *Router) finishFlow(now time.Time, id flowID, number uint64) {
-	flow := id.hash()
+func (rt *Router) finishFlow(now time.Time, flow, number uint64) {
 	u := rt.upstreams.byNumber[number]
 	rt.coordination.slotFreed = true
 	rt.scheduler.FlowEnded(now, number, flow)
--- a/internal/tokenrouter/caller_test.go
+++ b/internal/tokenrouter/caller_test.go
@@ -22,9 +22,11 @@
 	busy            int
 	queue           []func()
 	flows           map[string]bool
-	openTimes       []time.Time
-	misrouted       int
-	misplaced       int
+	// opened holds the flows that were ever open here.
+	opened    map[string]bool
+	openTimes []time.Time
+	misrouted int
+	misplaced int
 }
 
 // caller is one flow with a single request. openedUpstream is the number of the
@@ -65,14 +67,14 @@
 		if r, ok := n.router.routes[c.destination]; ok && r.Service != u.info.Service {
 			u.misplaced++
 		}
-		w.after(callerDelay, func() { c.handleOpenAnswer(u, t) })
+		u.answerOpening(c, t, firstRetransmit, 0)
 	case flow.RoleData:
 		if c.openedUpstream != number {
 			u.misrouted++
 			return
 		}
-		if !u.flows[key] {
-			u.flows[key] = true
+		if !u.opened[key] {
+			u.flows[key], u.opened[key] = true, true
 			u.serve(c, t)
 		}
 	case flow.RoleClose, flow.RoleReset:
@@ -80,6 +82,21 @@
 	}
 }
 
+// answerOpening answers an opening packet, and again until the flow opens here or the
+// server gives up.
+func (u *server) answerOpening(c *caller, t token.Token, pause time.Duration, repetitions int) {
+	const maxPause, maxRepetitions = 1600 * time.Millisecond, 8
+	u.w.after(callerDelay, func() { c.handleOpenAnswer(u, t) })
+	if repetitions == maxRepetitions {
+		return
+	}
+	u.w.after(pause, func() {
+		if u.alive && !u.opened[c.source.String()] {
+			u.answerOpening(c, t, min(2*pause, maxPause), repetitions+1)
+		}
+	})
+}
+
 // serve processes a request as soon as a slot is free. If 8 requests are queued
 // already, the server sheds it with an immediate answer.
 func (u *server) serve(c *caller, t token.Token) {
--- a/internal/tokenrouter/choose.go
+++ b/internal/tokenrouter/choose.go
@@ -19,7 +19,7 @@
 	c := rt.coordinator(now, o.route.Service, o.group)
 	rt.handOffGroup(now, group{o.route.Service, o.group}, c)
 	o.phase, o.coordinator = asking, c
-	rt.openings.pendingAsks[o.id.hash()] = o
+	rt.openings.pendingAsks[o.flow] = o
 	ask := rt.newAsk(now, o)
 	if c == nil {
 		rt.chooseLocally(now, o, &ask)
@@ -34,7 +34,7 @@
 // newAsk returns the request for an upstream that is sent to the coordinator.
 func (rt *Router) newAsk(now time.Time, o *opening) Ask {
 	return Ask{
-		Flow: o.id.hash(), Service: o.route.Service, Group: o.group, Avoid: slices.Clone(o.tries), Age: now.Sub(o.opened), Seen: now.Sub(o.lastSeen),
+		Flow: o.flow, Service: o.route.Service, Group: o.group, Avoid: slices.Clone(o.tries), Age: now.Sub(o.opened), Seen: now.Sub(o.lastSeen),
 		Target: o.route.Target, Deadline: o.route.Deadline, Priority: o.route.Priority, Bulk: o.route.Work == catalog.Bulk,
 	}
 }
@@ -111,6 +111,7 @@
 	o.phase, o.offered, o.phaseDeadline = offered, now, now.Add(rt.openings.hedgeDelay()<<len(o.tries))
 	o.tries = append(o.tries, number)
 	if len(o.tries) == 1 {
+		o.firstOffered = now
 		rt.observe(TimeToPlacement, now.Sub(o.firstSeen))
 		rt.flowLog("placed", o.id, "upstream", u.key, "token", hex(u.token), "accountant", coordinatorName(o.coordinator),
 			"held", now.Sub(o.firstSeen).String(), "outstanding", strconv.Itoa(rt.scheduler.OutstandingFlows(now, number)),
--- a/internal/tokenrouter/coordination.go
+++ b/internal/tokenrouter/coordination.go
@@ -295,12 +295,12 @@
 		rt.scheduleTick(o.phaseDeadline)
 		if c := rt.coordinator(now, o.route.Service, o.group); c != o.coordinator {
 			o.queued = false
-			delete(rt.openings.pendingAsks, o.id.hash())
+			delete(rt.openings.pendingAsks, o.flow)
 			rt.choose(now, o)
 		}
 		return
 	}
-	delete(rt.openings.pendingAsks, o.id.hash())
+	delete(rt.openings.pendingAsks, o.flow)
 	rt.counts.UnansweredAsks++
 	if o.coordinator != nil {
 		if o.coordinator.missedAsks++; o.coordinator.missedAsks == maxMissedAsks {
--- a/internal/tokenrouter/count.go
+++ b/internal/tokenrouter/count.go
@@ -6,6 +6,8 @@
 	Opened uint64 `json:"opened"`
 	// Hedged counts openings sent to a further upstream.
 	Hedged uint64 `json:"hedged"`
+	// Pinned counts flows that stay at one upstream whatever token they carry.
+	Pinned uint64 `json:"pinned"`
 	// Refused counts openings that were reset.
 	Refused uint64 `json:"refused"`
 	// Abandoned counts openings that no caller acknowledged.
--- a/internal/tokenrouter/event.go
+++ b/internal/tokenrouter/event.go
@@ -111,6 +111,8 @@
 	Asks    []Ask
 	Grants  []Grant
 	Reports []Report
+	Seeks   []Seek
+	Pins    []Pin
 }
 
 // Answer is the kind of an answer that a message requests.
--- a/internal/tokenrouter/heartbeat.go
+++ b/internal/tokenrouter/heartbeat.go
@@ -184,6 +184,12 @@
 	for i := range m.Reports {
 		rt.handleReport(now, p, &m.Reports[i])
 	}
+	for _, s := range m.Seeks {
+		rt.handleSeek(now, p, s)
+	}
+	for _, s := range m.Pins {
+		rt.handlePin(now, s)
+	}
 	for i := range m.Asks {
 		rt.handleAsk(now, p, &m.Asks[i])
 	}
@@ -229,6 +235,9 @@
 
 // answer sends what a message asks for.
 func (rt *Router) answer(now time.Time, p *peer, m *Message) {
+	if m.Hello && rt.isNeighbour(p) {
+		rt.messageTo(p).Pins = append(rt.messageTo(p).Pins, rt.pinsFor(now)...)
+	}
 	switch {
 	case m.Hello || m.Answer == PeersMessage:
 		rt.messageTo(p).Peers = rt.namePeers(now, p, peersPerAnswer)
--- a/internal/tokenrouter/opening.go
+++ b/internal/tokenrouter/opening.go
@@ -47,10 +47,9 @@
 	// retransmits its opening packet.
 	firstRetransmit  = 200 * time.Millisecond
 	secondRetransmit = 600 * time.Millisecond
-	// pinPeriod is how long a hedged flow stays pinned to the upstream that its
-	// caller acknowledged. By then that upstream's packets have brought the
-	// caller the right token.
-	pinPeriod = 15 * time.Second
+	// answerPeriod is the time in which an upstream repeats its answer to an opening
+	// that the caller did not acknowledge.
+	answerPeriod = 15 * time.Second
 	// maxReportDelay is how long a report waits to be sent along with another
 	// message.
 	maxReportDelay = 5 * time.Millisecond
@@ -77,18 +76,25 @@
 	asking
 	// offered to an upstream and not acknowledged yet.
 	offered
-	// opened: acknowledged by the caller. Only hedged flows are kept in this
-	// phase.
+	// seeking an instance that saw the acknowledgement, before the opening is
+	// offered to another upstream.
+	seeking
+	// opened: acknowledged by the caller, but not certain at which upstream. Only
+	// hedged flows are kept in this phase.
 	opened
 )
 
 // String returns the name of the phase for log lines and dumps.
-func (p phase) String() string { return [...]string{"waiting", "asking", "offered", "opened"}[p&3] }
+func (p phase) String() string {
+	return [...]string{"waiting", "asking", "offered", "seeking", "opened", "", "", ""}[p&7]
+}
 
 // opening is the state of a flow from its opening packet until its
-// acknowledgement, or until the end of pinPeriod for a hedged flow.
+// acknowledgement, or until the end of answerPeriod for a hedged flow.
 type opening struct {
 	id flowID
+	// flow is the hash of id.
+	flow uint64
 	// raw is a copy of the opening packet.
 	raw   []byte
 	route catalog.Route
@@ -101,10 +107,16 @@
 	lastSeen time.Time
 	// phaseDeadline is when the current phase times out.
 	phaseDeadline time.Time
-	// tries lists the upstreams that the opening was sent to, in order; offered
-	// is when it was last sent.
-	tries   []uint64
-	offered time.Time
+	// repeated is true if the first packet that arrived here was a retransmission:
+	// another instance may hold the opening, too.
+	repeated bool
+	// tries lists the upstreams that the opening was sent to, in order; firstOffered
+	// and offered are when it was first and last sent.
+	tries        []uint64
+	firstOffered time.Time
+	offered      time.Time
+	// sought is true once the neighbours were asked for the flow.
+	sought bool
 	// coordinator is the peer that the latest Ask was sent to, nil for this instance.
 	coordinator *peer
 	// group is the randomly drawn group of upstreams for the flow.
@@ -112,8 +124,6 @@
 	hasGroup bool
 	// queued is true while the flow waits for a free slot at an upstream.
 	queued bool
-	// chosen is the upstream that a hedged flow is pinned to, 0 for none.
-	chosen uint64
 }
 
 // openings holds the flows that are being opened.
@@ -143,6 +153,16 @@
 	return routes
 }
 
+// byHash returns the opening of a flow, nil if it is not held here.
+func (s *openings) byHash(flow uint64) *opening {
+	for _, o := range s.flows {
+		if o.flow == flow {
+			return o
+		}
+	}
+	return nil
+}
+
 // handlePacket handles one packet from a caller.
 func (rt *Router) handlePacket(now time.Time, p *Packet) {
 	id := flowID{p.Source, p.Destination}
@@ -155,18 +175,25 @@
 		rt.handleEstablished(now, o, p)
 		return
 	}
-	u, ok := rt.upstreams.byToken[p.Token]
+	hash := id.hash()
+	u, ok := rt.upstreamOf(now, hash, p)
 	if !ok {
-		rt.counts.UnknownToken++
-		rt.flowLog("unknown-token", id, "token", hex(p.Token), "through", revision(rt.catalog.Through()))
+		rt.dropUnknown(id, p.Token)
 		return
 	}
 	rt.forward(u, p)
 	if p.Role == flow.RoleClose || p.Role == flow.RoleReset {
-		rt.finishFlow(now, id, u.info.Number)
+		rt.pins.forgetSeen(hash)
+		rt.finishFlow(now, hash, u.info.Number)
 	}
 }
 
+// dropUnknown counts a packet whose token names no known upstream.
+func (rt *Router) dropUnknown(id flowID, t token.Token) {
+	rt.counts.UnknownToken++
+	rt.flowLog("unknown-token", id, "token", hex(t), "through", revision(rt.catalog.Through()))
+}
+
 func (rt *Router) forward(u *upstream, p *Packet) {
 	rt.counts.Forwarded++
 	rt.emit(Effect{Kind: Forward, Upstream: u.info.Address, Number: u.info.Number, Token: u.token, Raw: p.Raw})
@@ -184,11 +211,19 @@
 		rt.refuseUnrouted(now, id)
 		return
 	}
+	hash := id.hash()
+	if u, ok := rt.openUpstream(now, hash, route.Service, p); ok {
+		rt.forward(u, p)
+		return
+	}
 	if len(rt.openings.flows) >= maxOpenings {
 		rt.refuse(id, "too-many-openings")
 		return
 	}
-	o = &opening{id: id, raw: slices.Clone(p.Raw), route: route, firstSeen: now, opened: now.Add(-retransmitAge(p.Retransmission)), lastSeen: now}
+	o = &opening{
+		id: id, flow: hash, raw: slices.Clone(p.Raw), route: route, firstSeen: now, opened: now.Add(-retransmitAge(p.Retransmission)), lastSeen: now,
+		repeated: p.Retransmission > 0,
+	}
 	rt.openings.flows[id] = o
 	if rt.routes == nil {
 		o.phaseDeadline = now.Add(openTimeout)
@@ -244,7 +279,7 @@
 		if o.queued {
 			rt.choose(now, o)
 		}
-	case opened, waiting:
+	case opened, seeking, waiting:
 	}
 }
 
@@ -256,11 +291,10 @@
 func (rt *Router) handleAckTimeout(now time.Time, o *opening) {
 	last := o.tries[len(o.tries)-1]
 	if now.Sub(rt.openings.lastAck) < recentAckWindow && now.Sub(rt.roster.lastJoin) >= rehashWindow {
-		flow := o.id.hash()
-		if rt.scheduler.RecordUnanswered(now, last, flow, rt.config.Self.String(), true) {
+		if rt.scheduler.RecordUnanswered(now, last, o.flow, rt.config.Self.String(), true) {
 			rt.logSuspect(last, rt.config.Self)
 		}
-		rt.report(now, o.route.Service, Report{Upstream: last, Unanswered: []uint64{flow}})
+		rt.report(now, o.route.Service, Report{Upstream: last, Unanswered: []uint64{o.flow}})
 	}
 	if rt.startingUp(now) {
 		o.phaseDeadline = o.opened.Add(openTimeout)
@@ -270,13 +304,21 @@
 	rt.hedge(now, o)
 }
 
-// hedge sends an unacknowledged opening to one more upstream, up to maxTries.
+// hedge sends an unacknowledged opening to one more upstream, up to maxTries. The
+// acknowledgement may have passed through another instance, so it asks the neighbours
+// first.
 func (rt *Router) hedge(now time.Time, o *opening) {
 	if len(o.tries) >= maxTries {
 		o.phaseDeadline = o.opened.Add(openTimeout)
 		rt.scheduleTick(o.phaseDeadline)
 		return
 	}
+	if !o.sought {
+		o.sought = true
+		if rt.seek(now, o) {
+			return
+		}
+	}
 	rt.choose(now, o)
 }
 
@@ -301,6 +343,7 @@
 // expireOpenings sends due reports and handles openings whose phase timed out.
 func (rt *Router) expireOpenings(now time.Time) {
 	rt.flushReports(now)
+	rt.flushPins(now)
 	for id, o := range rt.openings.flows {
 		if now.Before(o.phaseDeadline) {
 			rt.scheduleTick(o.phaseDeadline)
@@ -315,6 +358,8 @@
 			rt.handleAskTimeout(now, o)
 		case o.phase == offered:
 			rt.handleAckTimeout(now, o)
+		case o.phase == seeking:
+			rt.choose(now, o)
 		case o.phase == waiting:
 			o.phaseDeadline = o.opened.Add(openTimeout)
 		}
@@ -326,14 +371,19 @@
 	rt.counts.Abandoned++
 	delete(rt.openings.flows, o.id)
 	rt.cancelAsk(o)
-	keys := make([]string, 0, len(o.tries))
-	for _, t := range o.tries {
-		if u, ok := rt.upstreams.byNumber[t]; ok {
+	rt.flowLog("abandoned", o.id, "tried", rt.keysOf(o.tries), "phase", o.phase.String(), "after", after.String(),
+		"through", revision(rt.catalog.Through()))
+}
+
+// keysOf returns the keys of upstreams for a log line.
+func (rt *Router) keysOf(numbers []uint64) string {
+	keys := make([]string, 0, len(numbers))
+	for _, n := range numbers {
+		if u, ok := rt.upstreams.byNumber[n]; ok {
 			keys = append(keys, u.key)
 		}
 	}
-	rt.flowLog("abandoned", o.id, "tried", strings.Join(keys, ","), "phase", o.phase.String(), "after", after.String(),
-		"through", revision(rt.catalog.Through()))
+	return strings.Join(keys, ",")
 }
 
 func hex(t token.Token) string { return strconv.FormatUint(uint64(t), 16) }
--- /dev/null
+++ b/internal/tokenrouter/pin_test.go
@@ -0,0 +1,236 @@
+package tokenrouter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/chervilhaven/chervilhaven/pkg/flow"
+)
+
+// misroutedPackets returns the number of packets that reached upstreams at which their flows
+// are not open.
+func (w *world) misroutedPackets() int {
+	n := 0
+	for _, u := range w.upstreams {
+		n += u.misrouted
+	}
+	return n
+}
+
+// openings returns the number of opening packets that reached upstreams.
+func (w *world) openings() int {
+	n := 0
+	for _, u := range w.upstreams {
+		n += len(u.openTimes)
+	}
+	return n
+}
+
+// sendVia sends a data packet of an open flow through an instance.
+func (c *caller) sendVia(n *node) {
+	c.via = n
+	c.send(&Packet{Role: flow.RoleData})
+	c.w.advance(10 * time.Millisecond)
+}
+
+// openHedged opens a flow through an instance that sends its opening to a second upstream
+// just before the caller acknowledges the first. It returns the flow, and the upstream that
+// the flow did not open at.
+func openHedged(t *testing.T, w *world, n *node) (*caller, uint64) {
+	t.Helper()
+	c := w.call(deskRoute, n)
+	c.keepsOpen = true
+	w.advance(callerDelay + 2*peerDelay)
+	o := n.router.openings.flows[flowID{c.source, c.destination}]
+	if o == nil || len(o.tries) != 1 {
+		t.Fatal("the opening was not sent to exactly one upstream")
+	}
+	first := o.tries[0]
+	o.phaseDeadline = w.now
+	n.apply(&Tick{})
+	w.advance(100 * time.Millisecond)
+	for number, u := range w.upstreams {
+		if number != first && len(u.openTimes) > 0 && c.openedUpstream == first {
+			return c, number
+		}
+	}
+	t.Fatal("the opening was not sent to a second upstream")
+	return nil, 0
+}
+
+// The fabric moves a flow to another instance between its opening packet and the
+// acknowledgement. The first instance must not take the flow for unopened and send the
+// opening packet to more upstreams.
+func TestAcknowledgementThroughAnotherInstanceEndsOpening(t *testing.T) {
+	w := newSmallFleet(t, 81)
+	for range 20 {
+		before := w.openings()
+		c := w.call(deskRoute, w.nodes[0])
+		c.keepsOpen = true
+		w.advance(callerDelay + peerDelay/2)
+		c.via = w.nodes[1]
+		w.advance(2 * time.Second)
+		if n := w.openings() - before; n != 1 {
+			t.Fatalf("the opening packet of an open flow was sent to %d upstreams, want 1", n)
+		}
+	}
+	if n := len(w.nodes[0].router.openings.flows); n > 0 {
+		t.Errorf("%d openings are held after their flows were opened, want none", n)
+	}
+}
+
+// A flow that was offered to two upstreams stays at the one that it was opened at when
+// the fabric moves it to other instances: one that ran before, one that starts later, and
+// one that was suspended.
+func TestHedgedFlowStaysAtItsUpstreamAtOtherInstances(t *testing.T) {
+	w := newSmallFleet(t, 82)
+	c, other := openHedged(t, w, w.nodes[0])
+	setToken := func() { c.token = w.nodes[0].router.upstreams.byNumber[other].token }
+	restart := func() *node {
+		w.nodes[2].kill()
+		w.advance(100 * time.Millisecond)
+		w.nodes[2].start()
+		w.advance(time.Second)
+		return w.nodes[2]
+	}
+	suspend := func() *node {
+		w.nodes[3].apply(&Resumed{Pause: 2 * time.Second})
+		return w.nodes[3]
+	}
+	for _, instance := range []struct {
+		name    string
+		prepare func() *node
+	}{
+		{"same", func() *node { return w.nodes[0] }},
+		{"neighbour", func() *node { return w.nodes[1] }},
+		{"restarted", restart},
+		{"suspended", suspend},
+	} {
+		n := instance.prepare()
+		for range 3 {
+			setToken()
+			c.sendVia(n)
+		}
+		if misrouted := w.misroutedPackets(); misrouted > 0 {
+			t.Errorf("%s instance: %d packets reached an upstream that the flow is not open at, want none", instance.name, misrouted)
+		}
+	}
+}
+
+// The first token stays in force after the upstreams that the flow is not open at have
+// stopped to answer: the flow may have been idle since.
+func TestHedgedFlowStaysAtItsUpstreamAfterPause(t *testing.T) {
+	w := newSmallFleet(t, 83)
+	c, other := openHedged(t, w, w.nodes[0])
+	w.advance(25 * time.Second)
+	c.token = w.nodes[0].router.upstreams.byNumber[other].token
+	c.sendVia(w.nodes[0])
+	if misrouted := w.misroutedPackets(); misrouted > 0 {
+		t.Errorf("%d packets reached an upstream that the flow is not open at, want none", misrouted)
+	}
+}
+
+// The second upstream answers first, 40 ms after the opening packet, and the flow opens
+// there. A later answer of the first one must not move the flow, although the instance
+// cannot know when the second one answered.
+func TestLateAnswerOfFirstUpstreamDoesNotMoveFlow(t *testing.T) {
+	w := newSmallFleet(t, 84)
+	n := w.nodes[0]
+	c := w.call(deskRoute, n)
+	c.keepsOpen = true
+	w.advance(callerDelay + 2*peerDelay)
+	o := n.router.openings.flows[flowID{c.source, c.destination}]
+	first := o.tries[0]
+	c.openedUpstream = 1 // No answer opens the flow yet.
+	w.advance(40 * time.Millisecond)
+	if len(o.tries) < 2 {
+		t.Fatal("the opening was not sent to a second upstream")
+	}
+	w.advance(20 * time.Millisecond)
+	c.openedUpstream, c.token = o.tries[1], n.router.upstreams.byNumber[o.tries[1]].token
+	c.sendVia(n)
+	c.token = n.router.upstreams.byNumber[first].token
+	c.sendVia(n)
+	c.token = n.router.upstreams.byNumber[first].token
+	c.sendVia(w.nodes[1])
+	if misrouted := w.misroutedPackets(); misrouted > 0 {
+		t.Errorf("%d packets reached an upstream that the flow is not open at, want none", misrouted)
+	}
+}
+
+// A copy of the opening packet arrives after the flow was opened, and the coordinator does
+// not know the flow. It must not be placed at another upstream.
+func TestLateCopyOfOpeningPacketIsNotPlacedAnew(t *testing.T) {
+	w := newSmallFleet(t, 85)
+	c := w.call(deskRoute, w.nodes[0])
+	c.keepsOpen = true
+	w.advance(100 * time.Millisecond)
+	for _, n := range w.nodes {
+		clear(n.router.coordination.assignment)
+	}
+	for _, n := range w.nodes[:1] {
+		n.apply(&Packet{Source: c.source, Destination: deskRoute, Role: flow.RoleOpen, Retransmission: 1, Raw: packetOf(0, flow.RoleOpen)})
+	}
+	w.advance(100 * time.Millisecond)
+	for number, u := range w.upstreams {
+		if len(u.openTimes) > 0 && number != c.openedUpstream {
+			t.Error("the opening packet of an open flow was sent to another upstream")
+		}
+	}
+}
+
+// A flow that was opened at an upstream to which another instance sent its opening packet
+// is forwarded there.
+func TestAcknowledgementOfUpstreamChosenElsewhereIsForwarded(t *testing.T) {
+	w := newSmallFleet(t, 86)
+	first, second := w.nodes[0], w.nodes[1]
+	c := w.call(deskRoute, first)
+	c.keepsOpen = true
+	w.advance(callerDelay + 2*peerDelay)
+	for _, n := range w.nodes {
+		clear(n.router.coordination.assignment)
+	}
+	second.apply(&Packet{Source: c.source, Destination: deskRoute, Role: flow.RoleOpen, Retransmission: 1, Raw: packetOf(0, flow.RoleOpen)})
+	c.via = second
+	w.advance(500 * time.Millisecond)
+	if c.answeredAt.IsZero() {
+		t.Error("the request of an open flow was not answered")
+	}
+	if misrouted := w.misroutedPackets(); misrouted > 0 {
+		t.Errorf("%d packets reached an upstream that the flow is not open at, want none", misrouted)
+	}
+}
+
+// Instances are stopped and started in turn while flows stay open between two requests.
+// Every packet of an open flow reaches its upstream.
+func TestOpenFlowsStayAtTheirUpstreamsDuringRollingRestart(t *testing.T) {
+	w := newSmallFleet(t, 87)
+	var list []*caller
+	for n := range 1600 {
+		w.after(time.Duration(n)*7*time.Millisecond, func() {
+			c := w.call(deskRoute, nil)
+			c.keepsOpen = true
+			list = append(list, c)
+			for _, pause := range []time.Duration{1500 * time.Millisecond, 2 * time.Second, 3 * time.Second} {
+				w.after(pause, func() {
+					if c.openedUpstream != 0 {
+						c.send(&Packet{Role: flow.RoleData})
+					}
+				})
+			}
+		})
+	}
+	for i, n := range w.nodes {
+		w.after(time.Duration(i)*1800*time.Millisecond+900*time.Millisecond, func() {
+			n.apply(&Stopping{})
+			w.after(600*time.Millisecond, func() {
+				n.kill()
+				w.after(100*time.Millisecond, n.start)
+			})
+		})
+	}
+	w.advance(16 * time.Second)
+	if misrouted := w.misroutedPackets(); misrouted > 0 {
+		t.Errorf("%d packets of %d flows reached an upstream that the flow is not open at, want none", misrouted, len(list))
+	}
+}
--- a/internal/tokenrouter/roster.go
+++ b/internal/tokenrouter/roster.go
@@ -194,6 +194,7 @@
 	r.countPeersByDataCentre(now)
 	rt.purgeGone(now)
 	rt.expireAssignments(now)
+	rt.pins.expire(now, rt.config.FlowLifetime)
 }
 
 // latest returns the later of two times.
--- a/internal/tokenrouter/router.go
+++ b/internal/tokenrouter/router.go
@@ -58,6 +58,7 @@
 	roster              roster
 	reader              reader
 	openings            openings
+	pins                pins
 	coordination        coordination
 	nextDataCentreCheck time.Time
 	// cutOff lists the data centres that count as unreachable. silentDataCentres
@@ -86,6 +87,7 @@
 	rt.roster.peers = make(map[netip.AddrPort]*peer)
 	rt.coordination.requesters, rt.coordination.assignment = make(map[uint64]*peer), make(map[uint64]assignment)
 	rt.coordination.lastCoordinators = make(map[group]*peer)
+	rt.pins = newPins()
 	rt.openings.flows = make(map[flowID]*opening)
 	rt.openings.pendingAsks = make(map[uint64]*opening)
 	return rt
--- a/internal/tokenrouter/router_test.go
+++ b/internal/tokenrouter/router_test.go
@@ -70,7 +70,7 @@
 	w := newSmallFleet(t, 4)
 	n := w.nodes[0]
 	c := w.call(deskRoute, n)
-	w.advance(callerDelay + 4*peerDelay)
+	w.advance(callerDelay + 2*peerDelay)
 	o := n.router.openings.flows[flowID{c.source, c.destination}]
 	if o == nil || len(o.tries) != 1 {
 		t.Fatal("the opening was not sent to exactly one upstream")
--- a/internal/tokenserver/convert.go
+++ b/internal/tokenserver/convert.go
@@ -83,6 +83,12 @@
 	if m.News != nil {
 		p.News = batchToProto(m.News)
 	}
+	for _, s := range m.Seeks {
+		p.Seeks = append(p.Seeks, &edgev1.Seek{Flow: s.Flow, AgeMs: milliseconds(s.Age)})
+	}
+	for _, s := range m.Pins {
+		p.Pins = append(p.Pins, &edgev1.Pin{Flow: s.Flow, Upstream: s.Upstream, AgeMs: milliseconds(s.Age)})
+	}
 	for _, a := range m.Asks {
 		p.Asks = append(p.Asks, &edgev1.Ask{
 			Service: a.Service, Group: uint32(a.Group), Avoid: a.Avoid, AgeMs: milliseconds(a.Age),
@@ -118,6 +124,12 @@
 		b := batchFromProto(p.GetNews())
 		m.News = &b
 	}
+	for _, s := range p.GetSeeks() {
+		m.Seeks = append(m.Seeks, tokenrouter.Seek{Flow: s.GetFlow(), Age: duration(s.GetAgeMs())})
+	}
+	for _, s := range p.GetPins() {
+		m.Pins = append(m.Pins, tokenrouter.Pin{Flow: s.GetFlow(), Upstream: s.GetUpstream(), Age: duration(s.GetAgeMs())})
+	}
 	for _, a := range p.GetAsks() {
 		m.Asks = append(m.Asks, tokenrouter.Ask{
 			Service: a.GetService(), Group: int(a.GetGroup()), Avoid: a.GetAvoid(), Age: duration(a.GetAgeMs()),
--- a/internal/tokenserver/server_test.go
+++ b/internal/tokenserver/server_test.go
@@ -61,6 +61,8 @@
 			Flow: 2, Service: "desk", Group: 3, Avoid: []uint64{4}, Age: 5 * time.Millisecond, Seen: 6 * time.Millisecond,
 			Target: 7 * time.Millisecond, Deadline: 8 * time.Millisecond, Priority: 1, Bulk: true,
 		}},
+		Seeks:   []tokenrouter.Seek{{Flow: 11, Age: 12 * time.Millisecond}},
+		Pins:    []tokenrouter.Pin{{Flow: 13, Upstream: 14, Age: time.Minute}},
 		Grants:  []tokenrouter.Grant{{Flow: 9, Upstream: 2, Queued: true}},
 		Reports: []tokenrouter.Report{{Upstream: 1, Finished: []uint64{2}, Moved: []uint64{3, 8}, Taken: []tokenrouter.Taken{{Flow: 4, Age: 20 * time.Millisecond}}, Answered: 5, Unanswered: []uint64{7}, Silent: 6}},
 	}
