Treat an upstream that fell silent as cold until it is known not to have restarted

Cause: one answered trial ended all suspicion. That nothing is known of a restart was taken for the knowledge that there was none.

Ruled out: a cold time that was read and lost; flows placed without the coordinator.

Change: a doubt about each upstream that fell silent. It is placed at as a cold one until its entry names a start, it answers within 0.5 s of its last answer, the time of a cold one has passed since it answered again, or the store was read for the lease of an entry and 1 s. Suspicions are told to the instances that may place flows in the group, handovers and answers to hellos carry doubts, and the last resort keeps to the rate of a cold upstream. The cold time of the configuration is used for it.

--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -9,6 +9,8 @@
 type pool struct {
 	members       []*upstream
 	coldPerSecond float64
+	// coldFor is how long upstreams are cold after their start.
+	coldFor time.Duration
 	// maxTarget is the longest Request.Target seen so far.
 	maxTarget time.Duration
 	// outcomes counts how recent flows of each class ended.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -124,6 +124,8 @@
 	AllowCold bool
 	// AllowSuspects permits upstreams that seem not to respond.
 	AllowSuspects bool
+	// Instances is the number of instances that may place flows as a last resort.
+	Instances int
 	// Bounded refuses upstreams that already have as many flows as they can work
 	// on, plus a few in transit.
 	Bounded bool
@@ -176,16 +178,18 @@
 		p.add(u)
 	}
 	if !info.Started.Equal(u.info.Started) {
-		u.placed, u.serviceTime, u.suspicion = u.placed[:0], 0, suspicion{}
+		u.placed, u.serviceTime, u.suspicion, u.doubt, u.lastAnswer = u.placed[:0], 0, suspicion{}, doubt{}, time.Time{}
 	}
 	u.info, u.state = info, state
 	u.coldUntil = now.Add(info.ColdFor)
 }
 
-// SetColdPerSecond sets the number of new flows a second that a cold upstream of a
-// service takes. Upstreams that have warmed up stay warm.
-func (p *Scheduler) SetColdPerSecond(service string, rate float64) {
-	p.pool(service).coldPerSecond = rate
+// SetCold sets how long upstreams of a service are cold after their start, and the
+// number of new flows a second that they take meanwhile. Upstreams that have warmed up
+// stay warm.
+func (p *Scheduler) SetCold(service string, coldFor time.Duration, perSecond float64) {
+	pl := p.pool(service)
+	pl.coldFor, pl.coldPerSecond = coldFor, perSecond
 }
 
 // SetState changes the state of an upstream. Unknown upstreams are ignored.
@@ -268,7 +272,7 @@
 		case r.Bounded && u.atBound(now, pl, r.class()):
 			verdict = Full
 		default:
-			u.addFlow(now, placed{r.Flow, now, r.class()})
+			u.addFlow(now, pl, placed{r.Flow, now, r.class()})
 			return u.info.Number, Placed
 		}
 	}
@@ -306,7 +310,7 @@
 // already tracked, or that recently ended, are ignored.
 func (p *Scheduler) TrackFlow(now time.Time, o OutstandingFlow) {
 	if u, ok := p.upstreams[o.Upstream]; ok && u.indexOf(o.Flow) < 0 && !u.endedEarly(now, o.Flow) {
-		u.addFlow(now, placed{o.Flow, o.At, o.Class})
+		u.addFlow(now, p.pools[u.info.Service], placed{o.Flow, o.At, o.Class})
 	}
 }
 
@@ -358,7 +362,7 @@
 		switch {
 		case u.stateFor(r) != state, slices.Contains(r.Avoid, u.info.Number):
 		case groups > 1 && groupOf(u.info.Number, groups) != r.Group:
-		case !r.AllowSuspects && !u.suspicion.allowsOpening(now), !u.allowsCold(now, pl, r.AllowCold):
+		case !r.AllowSuspects && !u.suspicion.allowsOpening(now), !u.allowsCold(now, pl, r):
 		default:
 			p.candidates = append(p.candidates, u)
 		}
@@ -394,7 +398,8 @@
 		return
 	}
 	if u.suspicion.hasUnanswered(flow) {
-		p.RecordAnswer(number)
+		// The answer may be older than the silence: the doubt remains.
+		u.suspicion = suspicion{}
 	}
 	pl := p.pools[u.info.Service]
 	pl.recentEnds(now)
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -19,7 +19,7 @@
 	p := &Scheduler{Random: rand.New(rand.NewPCG(1, 1))}
 	for i := 1; i <= n; i++ {
 		p.SetUpstream(at(0), catalog.Upstream{Number: uint64(i), Service: desk, DataCentre: "a", Slots: 2}, Open)
-		p.SetColdPerSecond(desk, 10)
+		p.SetCold(desk, 0, 10)
 	}
 	return p
 }
@@ -232,7 +232,7 @@
 		now = now.Add(5 * time.Millisecond)
 		n := place(t, p, now, Request{Group: AnyGroup})
 		if n != 1 {
-			p.RecordAnswer(n)
+			p.RecordAnswer(now, n)
 			p.FlowEnded(now.Add(20*time.Millisecond), n, 0)
 			continue
 		}
@@ -242,7 +242,7 @@
 		}
 		m := place(t, p, now, Request{Group: AnyGroup, Avoid: []uint64{1}})
 		p.RecordFailover(now, 1, 1, "self", true)
-		p.RecordAnswer(m)
+		p.RecordAnswer(now, m)
 		p.FlowEnded(now.Add(20*time.Millisecond), m, 0)
 	}
 	if dead > 8 {
@@ -275,7 +275,7 @@
 	if !p.IsSuspect(now.Add(minSuspectTime), 1) {
 		t.Error("failed trial did not double the suspect time")
 	}
-	p.RecordAnswer(1)
+	p.RecordAnswer(now, 1)
 	if p.IsSuspect(now, 1) {
 		t.Error("answer did not clear the suspicion")
 	}
@@ -321,7 +321,7 @@
 func TestColdUpstreamGetsItsShareFromCoordinatorOnly(t *testing.T) {
 	p := newScheduler(0)
 	p.SetUpstream(at(0), catalog.Upstream{Number: 1, Service: desk, Slots: 2, ColdFor: 2 * time.Second}, Open)
-	p.SetColdPerSecond(desk, 10)
+	p.SetCold(desk, 0, 10)
 	if _, v := p.Place(at(0), Request{Service: desk, Group: AnyGroup}); v != NoUpstream {
 		t.Errorf("verdict is %d for a cold upstream without AllowCold, want NoUpstream", v)
 	}
@@ -347,7 +347,7 @@
 	place(t, p, at(0), Request{Group: AnyGroup})
 	p.RecordFailover(at(0), 1, 2, "self", true)
 	p.SetUpstream(at(0), catalog.Upstream{Number: 1, Service: desk, Slots: 2, Started: at(0)}, Open)
-	p.SetColdPerSecond(desk, 10)
+	p.SetCold(desk, 0, 10)
 	if p.IsSuspect(at(0), 1) || p.OutstandingFlows(at(0), 1) != 0 {
 		t.Error("outstanding flows or suspicion survived a restart")
 	}
--- a/internal/scheduler/suspicion.go
+++ b/internal/scheduler/suspicion.go
@@ -24,9 +24,10 @@
 }
 
 // RecordAnswer records that the upstream answered an opening. It clears all suspicion.
-func (p *Scheduler) RecordAnswer(number uint64) {
+func (p *Scheduler) RecordAnswer(now time.Time, number uint64) {
 	if u, ok := p.upstreams[number]; ok {
 		u.suspicion = suspicion{}
+		u.noteAnswer(now, p.pools[u.info.Service])
 	}
 }
 
@@ -52,6 +53,7 @@
 	}
 	s.duration = min(max(2*s.duration, minSuspectTime), maxSuspectTime)
 	s.until, s.trialAt = now.Add(s.duration), time.Time{}
+	u.raiseDoubt(now)
 	return true
 }
 
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -26,6 +26,9 @@
 	// lastPlacement is the time at which a flow was last added.
 	lastPlacement time.Time
 	suspicion     suspicion
+	// lastAnswer is when it last answered an opening, zero before the first answer.
+	lastAnswer time.Time
+	doubt      doubt
 }
 
 // placed is a flow and the time at which it was placed or, in earlyEnds, at which
@@ -43,8 +46,9 @@
 	if w := u.serviceTimeAt(now); w > slowFactor*work {
 		work = w
 	}
-	if now.Before(u.coldUntil) {
-		// A cold upstream is assumed to take slowFactor times as long.
+	if u.isCold(now, pl) && !u.doubt.silent {
+		// A cold upstream is assumed to take slowFactor times as long. One that has to
+		// answer first is tried as soon as any other.
 		work *= slowFactor
 	}
 	slots := max(u.info.Slots, 1)
@@ -80,11 +84,11 @@
 }
 
 // addFlow tracks a flow. If the upstream is suspect, the flow counts as its trial.
-func (u *upstream) addFlow(now time.Time, f placed) {
+func (u *upstream) addFlow(now time.Time, pl *pool, f placed) {
 	i, _ := slices.BinarySearchFunc(u.placed, f, func(a, b placed) int { return a.at.Compare(b.at) })
 	u.placed = slices.Insert(u.placed, i, f)
 	u.serviceTime, u.lastPlacement = u.serviceTimeAt(now), now
-	if now.Before(u.coldUntil) {
+	if u.isCold(now, pl) {
 		u.coldPlacements = append(u.coldPlacements, now)
 	}
 	if u.suspicion.duration > 0 {
@@ -92,21 +96,29 @@
 	}
 }
 
+// isCold reports whether the upstream is cold or may be.
+func (u *upstream) isCold(now time.Time, pl *pool) bool {
+	return now.Before(u.coldUntil) || u.mayBeCold(now, pl)
+}
+
 // allowsCold reports whether the upstream is warm or, if cold, admits one more flow
-// within its rate limit. Without allowCold, a cold upstream admits none.
-func (u *upstream) allowsCold(now time.Time, pl *pool, allowCold bool) bool {
-	if !now.Before(u.coldUntil) {
+// within its rate limit. Without AllowCold, a cold upstream admits none. One that is
+// only in doubt admits flows as a last resort, of each instance its part of the rate.
+func (u *upstream) allowsCold(now time.Time, pl *pool, r Request) bool {
+	if !u.isCold(now, pl) {
 		return true
 	}
-	if !allowCold {
-		return false
+	rate := max(1, pl.coldPerSecond*coldShare)
+	if !r.AllowCold {
+		interval := time.Duration(float64(max(r.Instances, 1)) / rate * float64(time.Second))
+		return r.AllowSuspects && !now.Before(u.coldUntil) && now.Sub(u.lastPlacement) >= interval
 	}
 	n := 0
 	for n < len(u.coldPlacements) && now.Sub(u.coldPlacements[n]) > time.Second {
 		n++
 	}
 	u.coldPlacements = slices.Delete(u.coldPlacements, 0, n)
-	return float64(len(u.coldPlacements)) < max(1, pl.coldPerSecond*coldShare)
+	return float64(len(u.coldPlacements)) < rate
 }
 
 // atBound reports whether the upstream has as many flows as it can work on, plus
--- a/internal/soak/event.go
+++ b/internal/soak/event.go
@@ -24,6 +24,8 @@
 	// Faults last 500 ms plus a random part below faultDurationRange.
 	faultDurationRange = 4 * time.Second
 	coldPeriod         = 2 * time.Second
+	// upstreamRestartTime is the time from the crash of an upstream to its next start.
+	upstreamRestartTime = 1200 * time.Millisecond
 	// republishDelay is the time after which upstreams write their expired
 	// entries again once the store is back.
 	republishDelay = 1500 * time.Millisecond
@@ -57,6 +59,7 @@
 		{"store restored", false, func(s *Testbed, duration time.Duration) { s.restoreStore(duration) }},
 		{"packets lost", false, func(s *Testbed, duration time.Duration) { s.dropPackets(duration) }},
 		{"upstream crashes", false, func(s *Testbed, _ time.Duration) { s.crashUpstream() }},
+		{"upstream restarts", false, func(s *Testbed, duration time.Duration) { s.restartUpstream(duration) }},
 		{"upstream drains", true, func(s *Testbed, _ time.Duration) { s.drainUpstream() }},
 		{"data centre out", true, func(s *Testbed, duration time.Duration) { s.takeOutDataCentre(duration) }},
 		{"route added", true, func(s *Testbed, _ time.Duration) { s.addRoute() }},
@@ -230,6 +233,20 @@
 	s.schedule(2*time.Second, func() { s.store.Delete("servers/" + u.id) })
 }
 
+// restartUpstream crashes an upstream while the store is silent and starts it again
+// under its id. Its new entry is written when the store answers again.
+func (s *Testbed) restartUpstream(duration time.Duration) {
+	list := s.activeUpstreams()
+	u := list[s.random.IntN(len(list))]
+	s.store.SetFaultMode(kvstore.Unresponsive)
+	u.crashed.Store(true)
+	s.schedule(upstreamRestartTime, func() { u.restart(coldPeriod) })
+	s.schedule(upstreamRestartTime+duration, func() {
+		s.store.SetFaultMode(kvstore.NoFault)
+		s.writeEntry(u)
+	})
+}
+
 func (s *Testbed) drainUpstream() {
 	list := s.activeUpstreams()
 	u := list[s.random.IntN(len(list))]
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -241,8 +241,9 @@
 		Service  string `json:"service"`
 	}
 	type service struct {
-		Name string  `json:"name"`
-		Cold float64 `json:"cold-per-s"`
+		Name      string  `json:"name"`
+		ColdStart float64 `json:"cold-start-s"`
+		ColdPerS  float64 `json:"cold-per-s"`
 	}
 	var routes []route
 	for a, name := range s.routes {
@@ -250,7 +251,7 @@
 		routes = append(routes, route{a.Addr().String(), fmt.Sprintf("/%d/", a.Port()), "unsafe", 1400, 100, 1, name})
 	}
 	content, err := json.Marshal(map[string]any{
-		"version": s.version, "routes": routes, "services": []service{{"desk", coldPerSecond}, {"house", coldPerSecond}},
+		"version": s.version, "routes": routes, "services": []service{{"desk", coldPeriod.Seconds(), coldPerSecond}, {"house", coldPeriod.Seconds(), coldPerSecond}},
 		"limits": map[string]int{"idle-timeout-ms": 15000},
 	})
 	if err != nil {
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -43,6 +43,9 @@
 	// drainingSince is the time at which the store acknowledged the drain. Zero
 	// means that the upstream is not draining.
 	drainingSince time.Time
+	// start counts the starts. bornMS is the Unix time of the last one in milliseconds.
+	start  int
+	bornMS atomic.Int64
 	// crashed is atomic because it is read without the lock.
 	crashed atomic.Bool
 }
@@ -63,16 +66,29 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for upstream")
 	}
-	return &upstream{
+	u := &upstream{
 		testbed: s, id: fmt.Sprintf("i-%010x", number), number: number, service: service, dataCentre: dataCentre, address: address,
 		socket: socket, flows: make(map[netip.AddrPort]*connection), executed: make(map[uint64]bool),
-	}, nil
+	}
+	u.bornMS.Store(s.journal.startedAt.UnixMilli())
+	return u, nil
 }
 
 // entry returns the JSON registration of the upstream in the store.
 func (u *upstream) entry(state string, cold time.Duration) string {
 	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"cold-remaining-ms":%d,"sequence":1,"born":%d}`,
-		u.service, u.address, u.dataCentre, upstreamSlots, state, cold.Milliseconds(), u.testbed.journal.startedAt.UnixMilli())
+		u.service, u.address, u.dataCentre, upstreamSlots, state, cold.Milliseconds(), u.bornMS.Load())
+}
+
+// restart starts a crashed upstream again under its id. It knows none of its flows.
+func (u *upstream) restart(cold time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.start++
+	u.bornMS.Store(time.Now().UnixMilli())
+	u.coldUntil, u.coldOpenings = time.Now().Add(cold), nil
+	u.flows, u.busySlots, u.queue = make(map[netip.AddrPort]*connection), 0, nil
+	u.crashed.Store(false)
 }
 
 // serve reads and handles datagrams until the socket is closed. Each datagram starts
@@ -85,7 +101,7 @@
 		if err != nil {
 			return
 		}
-		if n < upstreamNumberBytes+headerBytes || binary.BigEndian.Uint64(buffer) != u.number {
+		if u.crashed.Load() || n < upstreamNumberBytes+headerBytes || binary.BigEndian.Uint64(buffer) != u.number {
 			continue
 		}
 		p, validChecksum, _ := decode(buffer[upstreamNumberBytes:n])
@@ -190,12 +206,15 @@
 	}
 	u.executed[id] = true
 	u.testbed.checkRequestSent(u, id)
-	request := *p
+	request, start := *p, u.start
 	run := func() {
 		u.busySlots++
 		time.AfterFunc(meanWorkTime/2+time.Duration(rand.Int64N(int64(meanWorkTime))), func() {
 			u.mu.Lock()
 			defer u.mu.Unlock()
+			if u.start != start {
+				return
+			}
 			u.busySlots--
 			u.reply(&request, f, flagAck, append(request.data[:8:8], byte(u.number), byte(u.number>>8)))
 			if len(u.queue) > 0 {
--- a/internal/tokenrouter/acknowledge.go
+++ b/internal/tokenrouter/acknowledge.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -79,7 +78,7 @@
 // recordOpened records that an upstream answered an opening.
 func (rt *Router) recordOpened(now time.Time, o *opening, number uint64) {
 	rt.counts.Opened++
-	rt.scheduler.RecordAnswer(number)
+	rt.recordAnswer(now, number)
 	rt.report(now, o.route.Service, Report{Upstream: number, Answered: 1})
 	rt.cancelAsk(o)
 }
@@ -103,17 +102,11 @@
 	rt.coordination.slotFreed = true
 	rt.scheduler.FlowMoved(number, o.flow)
 	if rt.scheduler.RecordFailover(now, number, 1, rt.config.Self.String(), true) {
-		rt.logSuspect(number, rt.config.Self)
+		rt.noteSuspect(now, number, rt.config.Self)
 	}
 	rt.report(now, o.route.Service, Report{Upstream: number, Moved: []uint64{o.flow}, Silent: 1})
 }
 
-func (rt *Router) logSuspect(number uint64, reporter netip.AddrPort) {
-	if u, ok := rt.upstreams.byNumber[number]; ok {
-		rt.log("upstream-suspect", "upstream", u.key, "reporter", reporter.String())
-	}
-}
-
 // finishFlow records the end of a flow and reports it to the coordinator.
 func (rt *Router) finishFlow(now time.Time, flow, number uint64) {
 	u := rt.upstreams.byNumber[number]
--- a/internal/tokenrouter/choose.go
+++ b/internal/tokenrouter/choose.go
@@ -71,7 +71,7 @@
 		}
 		return 0
 	case scheduler.NoUpstream:
-		t.Request.AllowSuspects = true
+		t.Request.AllowSuspects, t.Request.Instances = true, 1+len(rt.roster.peers)
 		if number, verdict = rt.scheduler.Place(now, t.Request); verdict != scheduler.Placed {
 			rt.handleNoUpstream(o)
 			return 0
--- a/internal/tokenrouter/coordination.go
+++ b/internal/tokenrouter/coordination.go
@@ -83,6 +83,9 @@
 			o.phaseDeadline = now
 		}
 	}
+	rt.tellDoubts(now, to, func(u *upstream) bool {
+		return u.info.Service == g.service && rt.scheduler.GroupOf(g.service, u.info.Number) == g.number
+	})
 	flows, ended := rt.scheduler.TakeGroup(now, g.service, g.number)
 	for _, f := range ended {
 		rt.report(now, g.service, Report{Upstream: f.Upstream, Finished: []uint64{f.Flow}})
@@ -323,15 +326,15 @@
 		rt.scheduler.FlowMoved(r.Upstream, flow)
 	}
 	if r.Answered > 0 {
-		rt.scheduler.RecordAnswer(r.Upstream)
+		rt.recordAnswer(now, r.Upstream)
 	}
 	for _, flow := range r.Unanswered {
 		if rt.scheduler.RecordUnanswered(now, r.Upstream, flow, p.address.String(), false) {
-			rt.logSuspect(r.Upstream, p.address)
+			rt.noteSuspect(now, r.Upstream, p.address)
 		}
 	}
 	if r.Silent > 0 && rt.scheduler.RecordFailover(now, r.Upstream, r.Silent, p.address.String(), false) {
-		rt.logSuspect(r.Upstream, p.address)
+		rt.noteSuspect(now, r.Upstream, p.address)
 	}
 }
 
--- a/internal/tokenrouter/dump.go
+++ b/internal/tokenrouter/dump.go
@@ -41,13 +41,15 @@
 
 // UpstreamDump is the state of one upstream in a Dump or Explanation.
 type UpstreamDump struct {
-	Key         string `json:"key"`
-	Service     string `json:"service"`
-	DataCentre  string `json:"data-centre"`
-	Address     string `json:"address"`
-	Token       string `json:"token"`
-	State       string `json:"state"`
-	Suspect     bool   `json:"suspect"`
+	Key        string `json:"key"`
+	Service    string `json:"service"`
+	DataCentre string `json:"data-centre"`
+	Address    string `json:"address"`
+	Token      string `json:"token"`
+	State      string `json:"state"`
+	Suspect    bool   `json:"suspect"`
+	// MayBeCold is true if the upstream fell silent and may have restarted since.
+	MayBeCold   bool   `json:"may-be-cold"`
 	Outstanding int    `json:"outstanding"`
 	Coordinator string `json:"accountant"`
 }
@@ -77,9 +79,10 @@
 func (rt *Router) dumpUpstream(now time.Time, u *upstream) UpstreamDump {
 	n := u.info.Number
 	c := rt.coordinator(now, u.info.Service, rt.scheduler.GroupOf(u.info.Service, n))
+	_, mayBeCold := rt.scheduler.DoubtOf(now, n)
 	return UpstreamDump{
 		u.key, u.info.Service, u.info.DataCentre, u.info.Address.String(), hex(u.token), rt.stateName(u),
-		rt.scheduler.IsSuspect(now, n), rt.scheduler.OutstandingFlows(now, n), coordinatorName(c),
+		rt.scheduler.IsSuspect(now, n), mayBeCold, rt.scheduler.OutstandingFlows(now, n), coordinatorName(c),
 	}
 }
 
--- a/internal/tokenrouter/event.go
+++ b/internal/tokenrouter/event.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chervilhaven/chervilhaven/internal/catalog"
+	"github.com/chervilhaven/chervilhaven/internal/scheduler"
 	"github.com/chervilhaven/chervilhaven/internal/token"
 	"github.com/chervilhaven/chervilhaven/pkg/flow"
 )
@@ -113,6 +114,8 @@
 	Reports []Report
 	Seeks   []Seek
 	Pins    []Pin
+	// Doubts are upstreams that may have restarted without their entries saying so.
+	Doubts []scheduler.Doubt
 }
 
 // Answer is the kind of an answer that a message requests.
--- a/internal/tokenrouter/heartbeat.go
+++ b/internal/tokenrouter/heartbeat.go
@@ -190,6 +190,7 @@
 	for _, s := range m.Pins {
 		rt.handlePin(now, s)
 	}
+	rt.handleDoubts(now, m.Doubts)
 	for i := range m.Asks {
 		rt.handleAsk(now, p, &m.Asks[i])
 	}
@@ -235,6 +236,9 @@
 
 // answer sends what a message asks for.
 func (rt *Router) answer(now time.Time, p *peer, m *Message) {
+	if m.Hello {
+		rt.tellDoubts(now, p, func(*upstream) bool { return true })
+	}
 	if m.Hello && rt.isNeighbour(p) {
 		rt.messageTo(p).Pins = append(rt.messageTo(p).Pins, rt.pinsFor(now)...)
 	}
--- a/internal/tokenrouter/opening.go
+++ b/internal/tokenrouter/opening.go
@@ -292,7 +292,7 @@
 	last := o.tries[len(o.tries)-1]
 	if now.Sub(rt.openings.lastAck) < recentAckWindow && now.Sub(rt.roster.lastJoin) >= rehashWindow {
 		if rt.scheduler.RecordUnanswered(now, last, o.flow, rt.config.Self.String(), true) {
-			rt.logSuspect(last, rt.config.Self)
+			rt.noteSuspect(now, last, rt.config.Self)
 		}
 		rt.report(now, o.route.Service, Report{Upstream: last, Unanswered: []uint64{o.flow}})
 	}
--- a/internal/tokenrouter/roster.go
+++ b/internal/tokenrouter/roster.go
@@ -195,6 +195,7 @@
 	rt.purgeGone(now)
 	rt.expireAssignments(now)
 	rt.pins.expire(now, rt.config.FlowLifetime)
+	rt.clearDoubts(now)
 }
 
 // latest returns the later of two times.
--- a/internal/tokenrouter/router.go
+++ b/internal/tokenrouter/router.go
@@ -53,12 +53,14 @@
 	out map[string]bool
 	// deferred holds the keys of items that a restored store reverted and the times at
 	// which they take effect unless they are written again.
-	deferred            map[string]time.Time
-	nextDeferredCheck   time.Time
-	roster              roster
-	reader              reader
-	openings            openings
-	pins                pins
+	deferred          map[string]time.Time
+	nextDeferredCheck time.Time
+	roster            roster
+	reader            reader
+	openings          openings
+	pins              pins
+	// earlyDoubts are doubts of other instances about upstreams that are not known yet.
+	earlyDoubts         map[uint64]scheduler.Doubt
 	coordination        coordination
 	nextDataCentreCheck time.Time
 	// cutOff lists the data centres that count as unreachable. silentDataCentres
@@ -87,7 +89,7 @@
 	rt.roster.peers = make(map[netip.AddrPort]*peer)
 	rt.coordination.requesters, rt.coordination.assignment = make(map[uint64]*peer), make(map[uint64]assignment)
 	rt.coordination.lastCoordinators = make(map[group]*peer)
-	rt.pins = newPins()
+	rt.pins, rt.earlyDoubts = newPins(), make(map[uint64]scheduler.Doubt)
 	rt.openings.flows = make(map[flowID]*opening)
 	rt.openings.pendingAsks = make(map[uint64]*opening)
 	return rt
--- a/internal/tokenrouter/sync.go
+++ b/internal/tokenrouter/sync.go
@@ -69,6 +69,9 @@
 	readsStore bool
 	// heard is when the store last answered.
 	heard time.Time
+	// freshSince is the time since which some instance has read the store all along,
+	// zero while none does.
+	freshSince time.Time
 	// next is when to read next, or to check again whether this instance should
 	// read.
 	next    time.Time
--- a/internal/tokenrouter/upstream.go
+++ b/internal/tokenrouter/upstream.go
@@ -129,7 +129,7 @@
 		rt.observe(TimeToConfiguration, now.Sub(rt.started))
 	}
 	for _, s := range c.Services {
-		rt.scheduler.SetColdPerSecond(s.Name, s.ColdPerSecond)
+		rt.scheduler.SetCold(s.Name, s.ColdFor, s.ColdPerSecond)
 	}
 	rt.routes = routeTable(c.Routes)
 	rt.log("configuration-changed", "source", source, "revision", revision(i.Revision),
@@ -163,6 +163,7 @@
 		rt.log("token-clash", "upstream", u.key, "token", strconv.FormatUint(uint64(u.token), 16))
 	}
 	rt.scheduler.SetUpstream(now, u.info, rt.stateOf(u))
+	rt.applyEarlyDoubt(now, u.info.Number)
 	if !logged {
 		return
 	}
--- a/internal/tokenserver/convert.go
+++ b/internal/tokenserver/convert.go
@@ -7,6 +7,7 @@
 
 	"github.com/chervilhaven/chervilhaven/internal/catalog"
 	"github.com/chervilhaven/chervilhaven/internal/peer/edgev1"
+	"github.com/chervilhaven/chervilhaven/internal/scheduler"
 	"github.com/chervilhaven/chervilhaven/internal/tokenrouter"
 )
 
@@ -89,6 +90,9 @@
 	for _, s := range m.Pins {
 		p.Pins = append(p.Pins, &edgev1.Pin{Flow: s.Flow, Upstream: s.Upstream, AgeMs: milliseconds(s.Age)})
 	}
+	for _, d := range m.Doubts {
+		p.Doubts = append(p.Doubts, &edgev1.Doubt{Upstream: d.Upstream, ColdMs: milliseconds(d.ColdFor)})
+	}
 	for _, a := range m.Asks {
 		p.Asks = append(p.Asks, &edgev1.Ask{
 			Service: a.Service, Group: uint32(a.Group), Avoid: a.Avoid, AgeMs: milliseconds(a.Age),
@@ -130,6 +134,9 @@
 	for _, s := range p.GetPins() {
 		m.Pins = append(m.Pins, tokenrouter.Pin{Flow: s.GetFlow(), Upstream: s.GetUpstream(), Age: duration(s.GetAgeMs())})
 	}
+	for _, d := range p.GetDoubts() {
+		m.Doubts = append(m.Doubts, scheduler.Doubt{Upstream: d.GetUpstream(), ColdFor: duration(d.GetColdMs())})
+	}
 	for _, a := range p.GetAsks() {
 		m.Asks = append(m.Asks, tokenrouter.Ask{
 			Service: a.GetService(), Group: int(a.GetGroup()), Avoid: a.GetAvoid(), Age: duration(a.GetAgeMs()),
--- a/internal/tokenserver/server_test.go
+++ b/internal/tokenserver/server_test.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"github.com/chervilhaven/chervilhaven/internal/catalog"
+	"github.com/chervilhaven/chervilhaven/internal/scheduler"
 	"github.com/chervilhaven/chervilhaven/internal/token"
 	"github.com/chervilhaven/chervilhaven/internal/tokenrouter"
 	"github.com/chervilhaven/chervilhaven/pkg/flow"
@@ -63,6 +64,7 @@
 		}},
 		Seeks:   []tokenrouter.Seek{{Flow: 11, Age: 12 * time.Millisecond}},
 		Pins:    []tokenrouter.Pin{{Flow: 13, Upstream: 14, Age: time.Minute}},
+		Doubts:  []scheduler.Doubt{{Upstream: 15}, {Upstream: 16, ColdFor: time.Second}},
 		Grants:  []tokenrouter.Grant{{Flow: 9, Upstream: 2, Queued: true}},
 		Reports: []tokenrouter.Report{{Upstream: 1, Finished: []uint64{2}, Moved: []uint64{3, 8}, Taken: []tokenrouter.Taken{{Flow: 4, Age: 20 * time.Millisecond}}, Answered: 5, Unanswered: []uint64{7}, Silent: 6}},
 	}
