Refuse entries of upstreams that cannot exist, whoever sends them

Report: another writer left one odd entry among those of the endpoints (very deeply nested, a number too large, a port out of range), and machines ended again and again or stopped following the list.

Here: no process ends and reads go on, but an entry with 2^62 slots was taken in, and each placing of its service then panicked (integer divide by zero in expectedTime), so that nothing of the service was placed. Also taken in: cold times that overflow, starts far away, addresses that no host has, the number 0, ports of peers cut off at 16 bits, and a second entry with the number of a good one, which replaced its address and service. Deep nesting is refused by the decoder (as before).

Change: catalog.Upstream.Validate, applied to each batch whoever sends it; such an upstream counts as a deletion, is counted and logged, and the other items hold. Of two entries with one number the first holds.

The soak writes odd entries.

--- a/internal/soak/event.go
+++ b/internal/soak/event.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -64,7 +65,7 @@
 		{"data centre out", true, func(s *Testbed, duration time.Duration) { s.takeOutDataCentre(duration) }},
 		{"route added", true, func(s *Testbed, _ time.Duration) { s.addRoute() }},
 		{"route removed", true, func(s *Testbed, _ time.Duration) { s.removeRoute() }},
-		{"malformed entry", true, func(s *Testbed, _ time.Duration) { s.store.Put("servers/i-junk", []byte(`{"service":1}`)) }},
+		{"odd entries", true, func(s *Testbed, _ time.Duration) { s.putOddEntries() }},
 	}
 }
 
@@ -293,6 +294,20 @@
 	})
 }
 
+// putOddEntries leaves entries among those of the upstreams that no upstream writes.
+func (s *Testbed) putOddEntries() {
+	u := s.activeUpstreams()[0]
+	entry := u.entry("ready", 0)
+	for key, value := range map[string]string{
+		"i-junk": `{"service":1}`,
+		"i-f1":   strings.Replace(entry, `"slots":2`, `"slots":4611686018427387904`, 1),
+		"i-f2":   strings.Replace(entry, u.address.String(), "127.0.0.1:70000", 1),
+		"i-f3":   strings.Replace(entry, `"sequence":1`, `"sequence":`+strings.Repeat("[", 1<<17), 1),
+	} {
+		s.store.Put("servers/"+key, []byte(value))
+	}
+}
+
 func (s *Testbed) hasRoute(a netip.AddrPort) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/tokenrouter/coordination.go
+++ b/internal/tokenrouter/coordination.go
@@ -242,7 +242,9 @@
 	}
 	delete(rt.openings.pendingAsks, g.Flow)
 	if reason := rt.unusable(now, o, g.Upstream); reason != "" {
-		rt.flowLog("grant-returned", o.id, "service", o.route.Service, "upstream", strconv.FormatUint(g.Upstream, 16), "reason", reason)
+		if g.Upstream != 0 {
+			rt.flowLog("grant-returned", o.id, "service", o.route.Service, "upstream", strconv.FormatUint(g.Upstream, 16), "reason", reason)
+		}
 		rt.returnGrant(now, g)
 		rt.chooseWithoutCoordinator(now, o)
 		return
--- a/internal/tokenrouter/restore.go
+++ b/internal/tokenrouter/restore.go
@@ -22,6 +22,7 @@
 // its origin in log lines.
 func (rt *Router) applyBatch(now time.Time, source string, b *catalog.Batch) catalog.Change {
 	held := rt.catalog.Position()
+	rt.rejectInvalid(source, b)
 	change := rt.catalog.Apply(now, *b)
 	if change.Restored && held.Revision > 0 {
 		rt.log("store-restored", "era", era(b.Era), "through", revision(b.Through), "held", position(held), "source", source,
@@ -35,6 +36,22 @@
 	return change
 }
 
+// rejectInvalid turns upstreams of a batch that cannot exist into deletions, so that they
+// get no flows and the other items of the batch hold.
+func (rt *Router) rejectInvalid(source string, b *catalog.Batch) {
+	for i := range b.Items {
+		u := b.Items[i].Upstream
+		if u == nil {
+			continue
+		}
+		if err := u.Validate(); err != nil {
+			b.Items[i].Upstream = nil
+			rt.counts.Malformed++
+			rt.log("upstream-refused", "upstream", b.Items[i].Key, "error", err.Error(), "source", source)
+		}
+	}
+}
+
 // deferReverted postpones items of a restored store that may precede those in effect,
 // until their writers have had the time to write them again. Items that were already
 // postponed start over.
--- a/internal/tokenrouter/upstream.go
+++ b/internal/tokenrouter/upstream.go
@@ -153,7 +153,14 @@
 	}
 }
 
+// applyUpstream adds or updates an upstream. Of two entries with the same number, the
+// one that is known first holds.
 func (rt *Router) applyUpstream(now time.Time, source string, i *catalog.Item, logged bool) {
+	if holder, ok := rt.upstreams.byNumber[i.Upstream.Number]; ok && holder.key != i.Key && holder.goneAt.IsZero() {
+		rt.counts.Malformed++
+		rt.log("number-clash", "upstream", i.Key, "holder", holder.key, "number", strconv.FormatUint(i.Upstream.Number, 16), "source", source)
+		return
+	}
 	if old, ok := rt.upstreams.byKey[i.Key]; ok && old.info.Number != i.Upstream.Number {
 		old.goneAt = now
 		rt.scheduler.SetState(old.info.Number, scheduler.Closed)
--- a/internal/tokenserver/convert.go
+++ b/internal/tokenserver/convert.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"net/netip"
 	"time"
 
@@ -22,7 +23,11 @@
 	return binary.BigEndian.Uint32(bytes[:]), uint32(a.Port())
 }
 
+// addressFromProto returns the zero address for a port out of range.
 func addressFromProto(ip, port uint32) netip.AddrPort {
+	if port > math.MaxUint16 {
+		return netip.AddrPort{}
+	}
 	var b [4]byte
 	binary.BigEndian.PutUint32(b[:], ip)
 	return netip.AddrPortFrom(netip.AddrFrom4(b), uint16(port))
@@ -242,7 +247,7 @@
 func configurationFromProto(p *edgev1.Configuration) *catalog.Configuration {
 	c := &catalog.Configuration{Version: p.GetVersion(), IdleTimeout: duration(p.GetIdleTimeoutMs())}
 	for _, s := range p.GetServices() {
-		c.Services = append(c.Services, catalog.Service{Name: s.GetName(), ColdFor: duration(s.GetColdMs()), ColdPerSecond: s.GetColdPerSecond()})
+		c.Services = append(c.Services, catalog.Service{Name: s.GetName(), ColdFor: duration(s.GetColdMs()), ColdPerSecond: rateFromProto(s.GetColdPerSecond())})
 	}
 	for _, r := range p.GetRoutes() {
 		if int(r.GetService()) >= len(c.Services) {
@@ -256,6 +261,14 @@
 	return c
 }
 
+// rateFromProto returns 0 for what is not a rate.
+func rateFromProto(r float64) float64 {
+	if r > 0 && !math.IsInf(r, 0) {
+		return r
+	}
+	return 0
+}
+
 func upstreamFromProto(p *edgev1.Upstream) *catalog.Upstream {
 	return &catalog.Upstream{
 		Number: p.GetNumber(), Service: p.GetService(), Address: addressFromProto(p.GetAddress(), p.GetPort()),
@@ -264,8 +277,10 @@
 	}
 }
 
-// milliseconds returns 0 for a negative duration.
-func milliseconds(d time.Duration) uint32 { return uint32(max(d.Milliseconds(), 0)) }
+// milliseconds returns the nearest number that a message can hold.
+func milliseconds(d time.Duration) uint32 {
+	return uint32(min(max(d.Milliseconds(), 0), math.MaxUint32))
+}
 
 func duration(milliseconds uint32) time.Duration {
 	return time.Duration(milliseconds) * time.Millisecond
