--- a/internal/tokenrouter/opening.go
+++ b/internal/tokenrouter/opening.go
@@ -181,6 +181,11 @@
 		rt.dropUnknown(id, p.Token)
 		return
 	}
+	if o != nil {
+		// Another instance sent the opening packet to the upstream that answered.
+		rt.cancelAsk(o)
+		delete(rt.openings.flows, id)
+	}
 	rt.forward(u, p)
 	if p.Role == flow.RoleClose || p.Role == flow.RoleReset {
 		rt.pins.forgetSeen(hash)
--- a/internal/tokenrouter/pin_test.go
+++ b/internal/tokenrouter/pin_test.go
@@ -201,6 +201,31 @@
 	}
 }
 
+// A copy of the opening packet waits for an upstream at one instance while the flow is
+// opened through another. Once packets of the flow pass, the copy must not be placed.
+func TestQueuedCopyOfOpeningPacketIsDroppedOnceFlowIsOpen(t *testing.T) {
+	w := newSmallFleet(t, 88)
+	first, second := w.nodes[0], w.nodes[1]
+	c := w.call(deskRoute, first)
+	c.keepsOpen = true
+	w.advance(callerDelay + 2*peerDelay)
+	for _, n := range w.nodes {
+		clear(n.router.coordination.assignment)
+	}
+	w.cutOff = func(a, b *node) bool { return a == second || b == second }
+	second.apply(&Packet{Source: c.source, Destination: deskRoute, Role: flow.RoleOpen, Retransmission: 1, Raw: packetOf(0, flow.RoleOpen)})
+	o := second.router.openings.flows[flowID{c.source, deskRoute}]
+	if o == nil {
+		t.Fatal("the copy of the opening packet is not held")
+	}
+	o.tries, o.phase, o.queued, o.phaseDeadline = nil, asking, true, w.now.Add(time.Second)
+	c.via = second
+	w.advance(100 * time.Millisecond)
+	if len(second.router.openings.flows) > 0 || len(second.router.openings.pendingAsks) > 0 {
+		t.Error("the opening of an open flow is still held")
+	}
+}
+
 // Instances are stopped and started in turn while flows stay open between two requests.
 // Every packet of an open flow reaches its upstream.
 func TestOpenFlowsStayAtTheirUpstreamsDuringRollingRestart(t *testing.T) {
