Make the soak's broken program for the guarantee route compile again

It named a field that the router no longer has, so that the case failed before it checked anything. It sends flows to the service of any route, as before.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -105,7 +105,7 @@
 		{guaranteeDataCentreOut, "internal/tokenrouter/upstream.go", stateCases, "case u.clash, u.info.Draining:", []string{"data centre out", "route removed"}},
 		{guaranteeCold, "internal/scheduler/scheduler.go", "u.coldUntil = now.Add(info.ColdFor)", "u.coldUntil = now", []string{"upstream drains", "route removed"}},
 		{guaranteeConfiguration, "internal/tokenrouter/upstream.go", "rt.routes = routeTable(c.Routes)", "if rt.routes == nil {\n\t\trt.routes = routeTable(c.Routes)\n\t}", []string{"route added", "route removed"}},
-		{guaranteeRoute, "internal/tokenrouter/choose.go", "Service: o.route.Service, Group", "Service: func() string {\n\t\tfor s := range rt.services {\n\t\t\treturn s\n\t\t}\n\t\treturn \"\"\n\t}(), Group", []string{"route added", "route removed"}},
+		{guaranteeRoute, "internal/tokenrouter/choose.go", "Service: o.route.Service, Group", "Service: func() string {\n\t\tfor _, r := range rt.routes {\n\t\t\treturn r.Service\n\t\t}\n\t\treturn \"\"\n\t}(), Group", []string{"route added", "route removed"}},
 		{guaranteeFlow, "internal/tokenrouter/opening.go", "func (rt *Router) forward(u *upstream, p *Packet) {", "func (rt *Router) forward(u *upstream, p *Packet) {\n\tfor _, u = range rt.upstreams.byNumber {\n\t\tbreak\n\t}", []string{"route added", "route removed"}},
 		{guaranteeUnasked, "platform/packet.go", "b = append(b, raw...)", "b = append(b, raw...)\n\tb[len(b)-1]++", []string{"route added", "route removed"}},
 		{guaranteeMixed, "platform/packet.go", "head[flagsAt] = flagReset", "head[flagsAt] = flagAck", []string{"route added", "route removed"}},
