Tell by its time which answer a retransmission belongs to

The first packet of a hedged flow was lost, its retransmission carried the token of the last upstream that answered, and the flow, which followed its tokens from then on, was led away from its upstream again after a pause.

Change: a retransmission comes 200 ms after the lost packet, which was sent on the answer of one upstream; its time tells which. Where it does not, the flow follows its tokens as before.

--- a/internal/tokenrouter/acknowledge.go
+++ b/internal/tokenrouter/acknowledge.go
@@ -37,7 +37,7 @@
 		return
 	}
 	if o.phase != opened {
-		rt.handleAck(now, o, u.info.Number)
+		u = rt.handleAck(now, o, u)
 	}
 	rt.forward(u, p)
 	if p.Role == flow.RoleClose || p.Role == flow.RoleReset {
@@ -46,16 +46,20 @@
 	}
 }
 
-// handleAck records the upstream at which the caller opened the flow. A flow
-// that was offered to several upstreams is pinned to that one, whatever token
-// follows, unless this packet may already carry the token of a later answer.
-func (rt *Router) handleAck(now time.Time, o *opening, number uint64) {
+// handleAck records the upstream at which the caller opened the flow and returns it. A
+// flow that was offered to several upstreams is pinned to that one, whatever token
+// follows. u is the upstream that the packet's token names.
+func (rt *Router) handleAck(now time.Time, o *opening, u *upstream) *upstream {
 	rt.openings.lastAck = now
+	number, certain := rt.openedUpstream(now, o, u.info.Number)
+	if opened, ok := rt.upstreams.byNumber[number]; ok {
+		u = opened
+	}
 	rt.pins.noteSeen(now, o.flow, number)
-	if len(o.tries) > 1 && now.Sub(o.offered) >= cmp.Or(rt.openings.ackTime, initialAckTime) && now.Sub(o.firstOffered) >= certainPeriod {
+	if !certain {
 		rt.recordOpened(now, o, number)
 		o.phase, o.phaseDeadline = opened, now.Add(answerPeriod)
-		return
+		return u
 	}
 	known := slices.Contains(o.tries, number)
 	if known && len(o.tries) == 1 {
@@ -73,6 +77,31 @@
 		}
 	}
 	rt.closeOpening(now, o, number)
+	return u
+}
+
+// openedUpstream returns the upstream that a flow was opened at, by the first packet that
+// arrives after its opening packet, and whether that is certain. An early packet carries the
+// token that the flow was opened with. A later one is a retransmission and may carry that of
+// any later answer. It comes a multiple of firstRetransmit after the packet that is lost, which
+// was sent on the answer of one of the upstreams, so that its time tells which one.
+func (rt *Router) openedUpstream(now time.Time, o *opening, named uint64) (number uint64, certain bool) {
+	ackTime := cmp.Or(rt.openings.ackTime, initialAckTime)
+	if len(o.tries) <= 1 || now.Sub(o.offered) < ackTime || now.Sub(o.firstOffered) < certainPeriod {
+		return named, true
+	}
+	matches := 0
+	for i, at := range o.offers {
+		late := (now.Sub(at) - ackTime + retransmitTolerance) % firstRetransmit
+		if late >= 0 && late <= 2*retransmitTolerance {
+			number = o.tries[i]
+			matches++
+		}
+	}
+	if matches == 1 {
+		return number, true
+	}
+	return named, false
 }
 
 // recordOpened records that an upstream answered an opening.
--- a/internal/tokenrouter/choose.go
+++ b/internal/tokenrouter/choose.go
@@ -109,7 +109,7 @@
 func (rt *Router) offer(now time.Time, o *opening, number uint64) {
 	u := rt.upstreams.byNumber[number]
 	o.phase, o.offered, o.phaseDeadline = offered, now, now.Add(rt.openings.hedgeDelay()<<len(o.tries))
-	o.tries = append(o.tries, number)
+	o.tries, o.offers = append(o.tries, number), append(o.offers, now)
 	if len(o.tries) == 1 {
 		o.firstOffered = now
 		rt.observe(TimeToPlacement, now.Sub(o.firstSeen))
--- a/internal/tokenrouter/opening.go
+++ b/internal/tokenrouter/opening.go
@@ -50,6 +50,9 @@
 	// answerPeriod is the time in which an upstream repeats its answer to an opening
 	// that the caller did not acknowledge.
 	answerPeriod = 15 * time.Second
+	// retransmitTolerance is how far the time of a caller's retransmission may be off
+	// that of the lost packet: less than half of the time between two hedges.
+	retransmitTolerance = 8 * time.Millisecond
 	// maxReportDelay is how long a report waits to be sent along with another
 	// message.
 	maxReportDelay = 5 * time.Millisecond
@@ -110,9 +113,10 @@
 	// repeated is true if the first packet that arrived here was a retransmission:
 	// another instance may hold the opening, too.
 	repeated bool
-	// tries lists the upstreams that the opening was sent to, in order; firstOffered
-	// and offered are when it was first and last sent.
+	// tries lists the upstreams that the opening was sent to, in order, and offers the
+	// times; firstOffered and offered are the first and the last of them.
 	tries        []uint64
+	offers       []time.Time
 	firstOffered time.Time
 	offered      time.Time
 	// sought is true once the neighbours were asked for the flow.
--- a/internal/tokenrouter/pin_test.go
+++ b/internal/tokenrouter/pin_test.go
@@ -158,6 +158,45 @@
 	}
 }
 
+// The caller's first packet is lost. Its retransmission carries the token of the last upstream
+// that answered the opening packet, but comes 200 ms after the packet that was sent on the
+// answer of the first one. The flow must stay there.
+func TestRetransmissionTellsUpstreamOfLostPacket(t *testing.T) {
+	w := newSmallFleet(t, 89)
+	n := w.nodes[0]
+	list := w.load(100, time.Second) // The instance learns when acknowledgements arrive.
+	w.advance(1500 * time.Millisecond)
+	if len(*list) == 0 {
+		t.Fatal("there is no load")
+	}
+	c := w.call(deskRoute, n)
+	c.keepsOpen, c.dropPackets = true, true
+	w.advance(callerDelay + 2*peerDelay + peerDelay + callerDelay)
+	opened := c.openedUpstream
+	if opened == 0 {
+		w.advance(2 * peerDelay)
+		opened = c.openedUpstream
+	}
+	sentAt := w.now
+	w.advance(firstRetransmit - w.now.Sub(sentAt))
+	o := n.router.openings.flows[flowID{c.source, c.destination}]
+	if o == nil || len(o.tries) < 3 {
+		t.Fatal("the opening packet was not sent to further upstreams")
+	}
+	last := o.tries[len(o.tries)-1]
+	if last == opened {
+		t.Fatal("the flow was opened at the last upstream")
+	}
+	c.dropPackets = false
+	for range 3 {
+		c.token = n.router.upstreams.byNumber[last].token
+		c.sendVia(n)
+	}
+	if misrouted := w.misroutedPackets(); misrouted > 0 {
+		t.Errorf("%d packets reached an upstream that the flow is not open at, want none", misrouted)
+	}
+}
+
 // A copy of the opening packet arrives after the flow was opened, and the coordinator does
 // not know the flow. It must not be placed at another upstream.
 func TestLateCopyOfOpeningPacketIsNotPlacedAnew(t *testing.T) {
