Count doubts about upstreams only while their entries cannot be read

Change: while some instance reads the store, the entry tells of a restart, as it did before. A doubt counts once the store could not be read, also about upstreams that answered in the 2 s in which that may not have been noticed.

TestDoubtCountsOnlyWhileEntriesCannotBeRead.

--- a/internal/scheduler/doubt.go
+++ b/internal/scheduler/doubt.go
@@ -2,14 +2,20 @@
 
 import "time"
 
-// minRestartTime is the shortest time in which an upstream can crash and answer again.
-const minRestartTime = 500 * time.Millisecond
+const (
+	// minRestartTime is the shortest time in which an upstream can crash and answer again.
+	minRestartTime = 500 * time.Millisecond
+	// noticeTime is the time in which it is noticed that the store does not answer.
+	noticeTime = 2 * time.Second
+)
 
 // doubt says that an upstream may have restarted since it fell silent. That it answers
-// again does not tell whether it is the process of before or a cold one, which its entry
-// would tell if it could be read. Until that is known, the upstream gets no more flows
-// than a cold one.
+// again does not tell whether it is the process of before or a cold one. Its entry tells
+// that if it can be read; otherwise the upstream gets no more flows than a cold one until
+// it is known.
 type doubt struct {
+	// blind is true if the entry could not be read at some time since the silence began.
+	blind bool
 	// silent is true from the suspicion until the next answer.
 	silent bool
 	// until is the end of the time for which an upstream that has answered again may be
@@ -21,14 +27,28 @@
 
 // mayBeCold reports whether the upstream may have restarted and not be warm yet.
 func (u *upstream) mayBeCold(now time.Time, pl *pool) bool {
-	return pl.coldFor > 0 && (u.doubt.silent || now.Before(u.doubt.until))
+	return pl.coldFor > 0 && u.doubt.blind && (u.doubt.silent || now.Before(u.doubt.until))
 }
 
 // raiseDoubt records that the upstream fell silent.
-func (u *upstream) raiseDoubt(now time.Time) {
+func (p *Scheduler) raiseDoubt(now time.Time, u *upstream) {
 	if !u.doubt.silent {
 		u.doubt.silent, u.doubt.since = true, now
 	}
+	u.doubt.blind = u.doubt.blind || !p.informed
+}
+
+// SetInformed tells whether entries of upstreams can be read. Once they cannot, all doubts
+// count, also about upstreams that answered again before that was noticed.
+func (p *Scheduler) SetInformed(now time.Time, informed bool) {
+	p.informed = informed
+	if informed {
+		return
+	}
+	for _, u := range p.upstreams {
+		d := &u.doubt
+		d.blind = d.blind || d.silent || !d.since.IsZero() && now.Sub(d.since) < noticeTime
+	}
 }
 
 // noteAnswer records that the upstream answers. After a silence in which it may have
@@ -50,10 +70,11 @@
 	ColdFor  time.Duration
 }
 
-// DoubtOf returns the doubt about an upstream, if there is one.
+// DoubtOf returns the doubt about an upstream, if there is one. That of an upstream that
+// has not answered again is one even while its entry can be read.
 func (p *Scheduler) DoubtOf(now time.Time, number uint64) (Doubt, bool) {
 	u, ok := p.upstreams[number]
-	if !ok || !u.mayBeCold(now, p.pools[u.info.Service]) {
+	if !ok || !u.doubt.silent && !u.mayBeCold(now, p.pools[u.info.Service]) {
 		return Doubt{}, false
 	}
 	d := Doubt{Upstream: number}
@@ -70,11 +91,11 @@
 		return
 	}
 	if d.ColdFor == 0 {
-		u.raiseDoubt(now)
+		p.raiseDoubt(now, u)
 		return
 	}
 	if until := now.Add(d.ColdFor); until.After(u.doubt.until) {
-		u.doubt.since, u.doubt.until = now, until
+		u.doubt.since, u.doubt.until, u.doubt.blind = now, until, true
 	}
 }
 
--- a/internal/scheduler/doubt_test.go
+++ b/internal/scheduler/doubt_test.go
@@ -127,3 +127,23 @@
 		t.Errorf("doubt %v remains", d)
 	}
 }
+
+// While entries can be read they tell of restarts, and an upstream that answers again gets
+// its share. If the store turns out not to have answered since, the doubt counts.
+func TestDoubtCountsOnlyWhileEntriesCannotBeRead(t *testing.T) {
+	p := newDoubtScheduler(at(time.Second))
+	p.doubtsOf(1).blind = false
+	p.SetInformed(at(time.Second), true)
+	back := at(4 * time.Second)
+	p.RecordAnswer(back, 1)
+	if n := placeFor(p, back, false); n != 100 {
+		t.Errorf("%d of 100 flows, want all", n)
+	}
+	p.SetInformed(back.Add(noticeTime/2), false)
+	if n := placeFor(p, back.Add(noticeTime/2), true); n > 5 {
+		t.Errorf("%d flows in a second after the store did not answer, want 5 at most", n)
+	}
+}
+
+// doubtsOf returns the doubt about an upstream.
+func (p *Scheduler) doubtsOf(number uint64) *doubt { return &p.upstreams[number].doubt }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -158,6 +158,8 @@
 	upstreams  map[uint64]*upstream
 	pools      map[string]*pool
 	candidates []*upstream
+	// informed is true while entries of upstreams can be read.
+	informed bool
 }
 
 // SetUpstream adds or updates an upstream. If the upstream has restarted, its outstanding
--- a/internal/scheduler/suspicion.go
+++ b/internal/scheduler/suspicion.go
@@ -53,7 +53,7 @@
 	}
 	s.duration = min(max(2*s.duration, minSuspectTime), maxSuspectTime)
 	s.until, s.trialAt = now.Add(s.duration), time.Time{}
-	u.raiseDoubt(now)
+	p.raiseDoubt(now, u)
 	return true
 }
 
--- a/internal/tokenrouter/datacentre.go
+++ b/internal/tokenrouter/datacentre.go
@@ -181,6 +181,7 @@
 // checkDataCentres updates the list of unreachable data centres and the readiness
 // that depends on it.
 func (rt *Router) checkDataCentres(now time.Time) {
+	rt.scheduler.SetInformed(now, rt.catalogFresh(now))
 	rt.silentDataCentres = rt.findSilentDataCentres(now)
 	cut := rt.findUnreachableDataCentres(now)
 	if !slices.Equal(cut, rt.cutOff) {
