--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -1,15 +1,20 @@
-package scheduler
+package admission
 
 import (
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/chervilhaven/chervilhaven/internal/scheduler"
 )
 
+// at returns the time d after an arbitrary start.
+func at(d time.Duration) time.Time { return time.Unix(1_700_000_000, 0).Add(d) }
+
 func pending(opened time.Duration, priority int) PendingFlow {
 	return PendingFlow{
-		Request: Request{Service: desk}, Opened: at(opened), LastPacket: at(opened), LastRequested: at(time.Second),
+		Request: scheduler.Request{Service: "desk"}, Opened: at(opened), LastPacket: at(opened), LastRequested: at(time.Second),
 		Target: 150 * time.Millisecond, Deadline: 1400 * time.Millisecond, Priority: priority,
 	}
 }
@@ -64,3 +69,83 @@
 		t.Errorf("%d flows still wait, want 0", q.Len())
 	}
 }
+
+// strict returns a pending flow that was opened the given time after the start.
+func strict(opened time.Duration, priority int) PendingFlow {
+	t := pending(opened, priority)
+	t.Strict = true
+	return t
+}
+
+// An urgent flow that has become late goes before a patient one that is not.
+func TestStrictFlowsGoByPriorityFirst(t *testing.T) {
+	var q Queue[string]
+	q.Add("late", strict(600*time.Millisecond, 2))
+	q.Add("urgent, late", strict(700*time.Millisecond, 1))
+	q.Add("fresh", strict(980*time.Millisecond, 2))
+	q.Add("urgent", strict(950*time.Millisecond, 1))
+	var order []string
+	q.Serve(at(time.Second), func(key string, _ *PendingFlow) bool { order = append(order, key); return true })
+	want := []string{"urgent", "urgent, late", "fresh", "late"}
+	if d := cmp.Diff(want, order); d != "" {
+		t.Errorf("order (-want +got):\n%s", d)
+	}
+}
+
+// Urgent flows alone exceed the room. The least urgent ones that wait keep a tenth of it,
+// also where only urgent flows find room.
+func TestLeastUrgentFlowsKeepTheirShare(t *testing.T) {
+	var q Queue[int]
+	served := map[int]int{}
+	for n := range 1000 {
+		now := at(time.Second + time.Duration(n)*time.Millisecond)
+		for k, priority := range []int{1, 1, 2} {
+			f := strict(time.Second+time.Duration(n)*time.Millisecond, priority)
+			f.LastRequested = now
+			q.Add(10*n+k, f)
+		}
+		room := 1
+		q.Serve(now, func(_ int, t *PendingFlow) bool {
+			if room == 0 || t.Priority == 2 && !t.Request.Urgent {
+				return false
+			}
+			room--
+			served[t.Priority]++
+			return true
+		})
+	}
+	if served[2] < 95 || served[2] > 105 {
+		t.Errorf("%d of 1000 flows served are of the least urgent class, want 100 (%v)", served[2], served)
+	}
+}
+
+// A group that serves 100 flows a second and has 300 waiting cannot serve them all while
+// their callers wait. Those whose turn comes last are refused, as many as the refusals of a
+// tenth of the placements allow.
+func TestFlowsWithoutChanceAreRefused(t *testing.T) {
+	var q Queue[int]
+	var r Refusals
+	for n := range 100 {
+		r.Placed(at(time.Duration(n) * 10 * time.Millisecond))
+	}
+	for n := range 300 {
+		q.Add(n, strict(500*time.Millisecond+time.Duration(n)*time.Millisecond, 1+n%2))
+	}
+	now := at(time.Second)
+	q.Serve(now, func(int, *PendingFlow) bool { return false })
+	line := r.Line(now, 1400*time.Millisecond)
+	if line != 140 {
+		t.Errorf("the line may be %d flows long, want 140", line)
+	}
+	refused := q.Excess(now, "desk", 0, line, r.Allowed())
+	if d := cmp.Diff([]int{1, 3, 5, 7, 9, 11, 13, 15, 17, 19}, refused); d != "" {
+		t.Errorf("refused flows (-want +got):\n%s", d)
+	}
+	r.Refused(len(refused))
+	if r.Allowed() != 0 {
+		t.Errorf("%d more may be refused, want 0", r.Allowed())
+	}
+	if got := q.Excess(now, "desk", 0, 300, 100); got != nil {
+		t.Errorf("%v are refused from a line that is not too long", got)
+	}
+}
--- a/internal/measure/surge.go
+++ b/internal/measure/surge.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/chervilhaven/chervilhaven/internal/admission"
 	"github.com/chervilhaven/chervilhaven/internal/catalog"
 	"github.com/chervilhaven/chervilhaven/internal/scheduler"
 )
@@ -65,9 +66,9 @@
 
 // waitQueue holds and orders the flows that wait for an upstream.
 type waitQueue interface {
-	Add(flow uint64, t scheduler.PendingFlow)
+	Add(flow uint64, t admission.PendingFlow)
 	Remove(flow uint64)
-	Serve(now time.Time, place func(flow uint64, t *scheduler.PendingFlow) bool)
+	Serve(now time.Time, place func(flow uint64, t *admission.PendingFlow) bool)
 }
 
 // Strategy is a way of assigning flows to upstreams.
@@ -89,7 +90,7 @@
 		{Name: "least outstanding"},
 		{Name: "bounded, oldest first", backlog: func() waitQueue { return &arrivalQueue{} }},
 		{Name: "bounded, newest first", backlog: func() waitQueue { return &arrivalQueue{newestFirst: true} }},
-		{Name: "bounded, those in time first", backlog: func() waitQueue { return &scheduler.Queue[uint64]{} }},
+		{Name: "bounded, those in time first", backlog: func() waitQueue { return &admission.Queue[uint64]{} }},
 	}
 }
 
@@ -97,14 +98,14 @@
 type arrivalQueue struct {
 	newestFirst bool
 	flows       []uint64
-	tickets     map[uint64]scheduler.PendingFlow
+	tickets     map[uint64]admission.PendingFlow
 }
 
 // Add queues a flow. A flow that is queued already keeps its position and gets
 // the new parameters.
-func (a *arrivalQueue) Add(flow uint64, t scheduler.PendingFlow) {
+func (a *arrivalQueue) Add(flow uint64, t admission.PendingFlow) {
 	if a.tickets == nil {
-		a.tickets = make(map[uint64]scheduler.PendingFlow)
+		a.tickets = make(map[uint64]admission.PendingFlow)
 	}
 	if _, ok := a.tickets[flow]; !ok {
 		a.flows = append(a.flows, flow)
@@ -120,7 +121,7 @@
 
 // Serve places flows until the upstreams are full. It drops flows whose
 // deadline has passed.
-func (a *arrivalQueue) Serve(now time.Time, place func(flow uint64, t *scheduler.PendingFlow) bool) {
+func (a *arrivalQueue) Serve(now time.Time, place func(flow uint64, t *admission.PendingFlow) bool) {
 	for len(a.flows) > 0 {
 		flow := a.flows[0]
 		if a.newestFirst {
@@ -277,7 +278,7 @@
 		return
 	}
 	now := p.clock()
-	t := scheduler.PendingFlow{
+	t := admission.PendingFlow{
 		Request: scheduler.Request{Service: surgeService, Flow: a.flow, Group: scheduler.AnyGroup, Target: p.Target, Bounded: p.backlog != nil},
 		Opened:  now.Add(a.opened - p.now), LastPacket: now, LastRequested: now, Target: p.Target, Deadline: surgeRetryAfter,
 	}
@@ -295,7 +296,7 @@
 	if p.backlog == nil || !p.up {
 		return
 	}
-	p.backlog.Serve(p.clock(), func(flow uint64, t *scheduler.PendingFlow) bool {
+	p.backlog.Serve(p.clock(), func(flow uint64, t *admission.PendingFlow) bool {
 		number, verdict := p.flowScheduler.Place(p.clock(), t.Request)
 		if verdict != scheduler.Placed {
 			return false
--- /dev/null
+++ b/internal/scheduler/measured.go
@@ -0,0 +1,131 @@
+package scheduler
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/chervilhaven/chervilhaven/internal/speed"
+	"github.com/chervilhaven/chervilhaven/internal/work"
+)
+
+// RecordWork takes over what an instance says of the work at an upstream in flows that
+// stay open between requests. Unknown upstreams are ignored.
+func (p *Scheduler) RecordWork(now time.Time, source netip.AddrPort, t work.Total) {
+	u, ok := p.upstreams[t.Upstream]
+	if !ok {
+		return
+	}
+	pl := p.pools[u.info.Service]
+	more := u.work.Record(now, source, t)
+	if more.Ended == 0 {
+		return
+	}
+	pl.measured = true
+	took := time.Duration(float64(more.Took) / float64(more.Ended) / u.crowd(now, pl))
+	pl.openDuration.Add(took)
+	u.speed.Add(now, pl.openDuration.Ratio(took), int(more.Ended))
+}
+
+// Measured reports whether instances have reported work in open flows of the service.
+func (p *Scheduler) Measured(service string) bool {
+	pl := p.pools[service]
+	return pl != nil && pl.measured
+}
+
+// WorkIn returns the average number of requests under way in open flows of an upstream.
+func (p *Scheduler) WorkIn(now time.Time, number uint64) float64 {
+	u, ok := p.upstreams[number]
+	if !ok {
+		return 0
+	}
+	return u.work.Work(now, p.pools[u.info.Service].workPerFlow)
+}
+
+// ForgetWork drops what an instance said of the work at upstreams, because its process
+// has ended.
+func (p *Scheduler) ForgetWork(source netip.AddrPort) {
+	for _, u := range p.upstreams {
+		u.work.Forget(source)
+	}
+}
+
+// SweepWork forgets old reports of work.
+func (p *Scheduler) SweepWork(now time.Time) {
+	for _, u := range p.upstreams {
+		u.work.Sweep(now)
+	}
+}
+
+// recordDuration learns the speed of an upstream from the first request of a flow.
+func (pl *pool) recordDuration(now time.Time, u *upstream, f placed, took time.Duration) {
+	if !pl.measured || f.crowd == 0 {
+		return
+	}
+	if pl.durations == nil {
+		pl.durations = make(map[Class]*speed.Reference)
+	}
+	usual := pl.durations[f.class]
+	if usual == nil {
+		usual = &speed.Reference{}
+		pl.durations[f.class] = usual
+	}
+	took = time.Duration(float64(took) / f.crowd)
+	usual.Add(took)
+	u.speed.Add(now, usual.Ratio(took), 1)
+}
+
+// updateWorkPerFlow recomputes the average number of requests under way in an open flow.
+func (pl *pool) updateWorkPerFlow(now time.Time) {
+	underWay, open := 0.0, 0
+	for _, u := range pl.members {
+		underWay += u.work.Work(now, 0)
+		open += u.work.Open()
+	}
+	pl.workPerFlow = underWay / float64(max(open, 1))
+}
+
+// load returns the number of requests that the upstream has, of flows of all kinds.
+func (u *upstream) load(now time.Time, pl *pool) float64 {
+	return float64(len(u.placed)) + u.work.Work(now, pl.workPerFlow)
+}
+
+// crowd returns the number of requests for each slot if one more is placed, at least 1.
+func (u *upstream) crowd(now time.Time, pl *pool) float64 {
+	if !pl.measured {
+		return 0
+	}
+	return max(1, (u.load(now, pl)+1)/float64(max(u.info.Slots, 1)))
+}
+
+// measuredTime returns the expected time until one more flow gets its response, by the
+// measured work and speed of the upstream. A flow that stays open will bring further
+// requests: it counts the work that all open flows of the upstream are expected to bring.
+func (u *upstream) measuredTime(now time.Time, pl *pool, c Class) time.Duration {
+	slots := float64(max(u.info.Slots, 1))
+	slowness := u.speed.Slowness(now)
+	usual := float64(pl.medianServiceTime) * slowness
+	if u.isCold(now, pl) && !u.doubt.silent {
+		usual *= slowFactor
+	}
+	load, brought := u.load(now, pl), 0.0
+	if pl.staysOpen(c) {
+		brought = float64(u.work.Open()) * pl.workPerFlow * slowness
+		load = max(load, float64(len(u.placed))+brought)
+	}
+	waiting := max(0, load+1-slots)
+	return time.Duration(usual * (1 + waiting/slots + min(load, slots)/(4*slots) + brought/slots))
+}
+
+// measuredAtBound reports whether the upstream has as many requests as it can answer
+// soon.
+func (u *upstream) measuredAtBound(now time.Time, pl *pool, r Request) bool {
+	slots := float64(max(u.info.Slots, 1))
+	if r.Bulk {
+		slots *= bulkPerSlot
+	}
+	bound := measuredPerSlot * slots / max(u.speed.Slowness(now), 1/float64(maxSpeedup))
+	if r.Urgent {
+		bound += urgentPerSlot * slots
+	}
+	return u.load(now, pl)+1 > max(bound, 1)
+}
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/chervilhaven/chervilhaven/internal/speed"
 )
 
 // pool holds the upstreams of one service, ordered by number.
@@ -20,6 +22,15 @@
 	// medianServiceTime is the median over the upstreams, computed at medianAt.
 	medianServiceTime time.Duration
 	medianAt          time.Time
+	// measured is true once instances have reported work in open flows of the service.
+	// Upstreams are then compared by their measured work and speed.
+	measured bool
+	// durations holds the usual duration of the first requests of flows by class,
+	// openDuration that of later requests.
+	durations    map[Class]*speed.Reference
+	openDuration speed.Reference
+	// workPerFlow is the average number of requests under way in an open flow.
+	workPerFlow float64
 }
 
 // pool returns the pool of a service and creates it if necessary.
@@ -63,6 +74,8 @@
 type outcomes struct {
 	endedInTime int
 	expired     int
+	// idle counts the flows among endedInTime that stayed open after their first request.
+	idle int
 }
 
 // recordOutcome counts a flow that ended in time or expired. The counts are halved
@@ -82,10 +95,19 @@
 		o.endedInTime++
 	}
 	if o.endedInTime+o.expired > longLivedSample {
-		o.endedInTime, o.expired = o.endedInTime/2, o.expired/2
+		o.endedInTime, o.expired, o.idle = o.endedInTime/2, o.expired/2, o.idle/2
 	}
 }
 
+// recordIdle counts a flow that ended in time as one that stays open.
+func (pl *pool) recordIdle(c Class) { pl.outcomes[c].idle++ }
+
+// staysOpen reports whether most flows of a class stay open after their first request.
+func (pl *pool) staysOpen(c Class) bool {
+	o := pl.outcomes[c]
+	return o != nil && 2*o.idle > o.endedInTime
+}
+
 // longLived reports whether most flows of a class outlast their expiry. The number
 // of tracked flows then says nothing about the load.
 func (pl *pool) longLived(c Class) bool {
@@ -104,6 +126,7 @@
 		return
 	}
 	pl.medianAt = now
+	pl.updateWorkPerFlow(now)
 	times := make([]time.Duration, 0, len(pl.members))
 	for _, u := range pl.members {
 		if u.serviceTime > 0 {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -12,10 +12,13 @@
 import (
 	"cmp"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/chervilhaven/chervilhaven/internal/catalog"
+	"github.com/chervilhaven/chervilhaven/internal/speed"
+	"github.com/chervilhaven/chervilhaven/internal/work"
 )
 
 // Limits and time constants of placement.
@@ -77,9 +80,17 @@
 	// an upstream. A slot is busy for only half of the time from the grant to the
 	// report of the end. The extra flow keeps it busy when work ends early.
 	boundPerSlot = 2
+	// measuredPerSlot times the slots is the bound on requests at an upstream whose work
+	// is measured, if it is as fast as usual. Requests spend a third of their time on the
+	// network, so that two a slot leave slots idle. urgentPerSlot is what urgent flows may
+	// use beyond that: they do not wait behind others where order cannot be changed.
+	measuredPerSlot = 3
+	urgentPerSlot   = 1
 	// bulkPerSlot is the number of bulk flows that share a slot: transferring the
 	// response takes several times as long as the work.
 	bulkPerSlot = 8
+	// maxSpeedup limits by how much the bound of an upstream rises because it is fast.
+	maxSpeedup = 2
 	// probeGain is the factor by which the placement rate may exceed the rate at
 	// which flows end. It is the probing gain of BBR (Cardwell et al. 2016).
 	probeGain = 1.25
@@ -129,6 +140,9 @@
 	// Bounded refuses upstreams that already have as many flows as they can work
 	// on, plus a few in transit.
 	Bounded bool
+	// Urgent marks a flow that is more urgent than others of the service. At a measured
+	// service it may use room that is kept free of these.
+	Urgent bool
 	// ServiceLimit bounds the outstanding flows of the whole service that were placed
 	// within recentWindow. The bound rises with the number of flows that ended in this
 	// window. 0 means no limit.
@@ -181,6 +195,7 @@
 	}
 	if !info.Started.Equal(u.info.Started) {
 		u.placed, u.serviceTime, u.suspicion, u.doubt, u.lastAnswer = u.placed[:0], 0, suspicion{}, doubt{}, time.Time{}
+		u.work, u.speed = work.Ledger[netip.AddrPort]{}, speed.Estimate{}
 	}
 	u.info, u.state = info, state
 	u.coldUntil = now.Add(info.ColdFor)
@@ -271,10 +286,10 @@
 		u := p.best(now, pl, r)
 		switch {
 		case u == nil:
-		case r.Bounded && u.atBound(now, pl, r.class()):
+		case r.Bounded && u.atBound(now, pl, r):
 			verdict = Full
 		default:
-			u.addFlow(now, pl, placed{r.Flow, now, r.class()})
+			u.addFlow(now, pl, placed{flow: r.Flow, at: now, class: r.class(), crowd: u.crowd(now, pl)})
 			return u.info.Number, Placed
 		}
 	}
@@ -298,50 +313,6 @@
 	return slots, len(seen)
 }
 
-// OutstandingFlow is a flow that was placed at an upstream and has not ended. In the
-// list of ends that TakeGroup returns, At is the time of the end.
-type OutstandingFlow struct {
-	Upstream uint64
-	Flow     uint64
-	At       time.Time
-	// Class is the zero value if it is not known.
-	Class Class
-}
-
-// TrackFlow tracks a flow that another instance placed or tracked. Flows that are
-// already tracked, or that recently ended, are ignored.
-func (p *Scheduler) TrackFlow(now time.Time, o OutstandingFlow) {
-	if u, ok := p.upstreams[o.Upstream]; ok && u.indexOf(o.Flow) < 0 && !u.endedEarly(now, o.Flow) {
-		u.addFlow(now, p.pools[u.info.Service], placed{o.Flow, o.At, o.Class})
-	}
-}
-
-// TakeGroup removes and returns the outstanding flows of a group, and the recent
-// ends of flows that were not tracked, for handoff to the next coordinator.
-func (p *Scheduler) TakeGroup(now time.Time, service string, group int) (flows, ended []OutstandingFlow) {
-	pl := p.pools[service]
-	if pl == nil {
-		return nil, nil
-	}
-	groups := p.Groups(service)
-	for _, u := range pl.members {
-		if groupOf(u.info.Number, groups) != group {
-			continue
-		}
-		u.expire(now, pl)
-		for _, f := range u.placed {
-			flows = append(flows, OutstandingFlow{u.info.Number, f.flow, f.at, f.class})
-		}
-		for _, f := range u.earlyEnds {
-			if now.Sub(f.at) <= earlyEndRetention {
-				ended = append(ended, OutstandingFlow{u.info.Number, f.flow, f.at, f.class})
-			}
-		}
-		u.placed, u.earlyEnds = u.placed[:0], u.earlyEnds[:0]
-	}
-	return flows, ended
-}
-
 // GroupOf returns the group that an upstream of the service belongs to.
 func (p *Scheduler) GroupOf(service string, number uint64) int {
 	return groupOf(number, p.Groups(service))
@@ -378,7 +349,7 @@
 	var least time.Duration
 	ties := 0
 	for _, u := range p.candidates {
-		c := u.expectedTime(now, pl)
+		c := u.expectedTime(now, pl, r.class())
 		near := u.info.DataCentre == r.DataCentre
 		switch {
 		case best == nil || c < least || c == least && near && best.info.DataCentre != r.DataCentre:
@@ -391,52 +362,3 @@
 	}
 	return best
 }
-
-// FlowEnded records the end of a flow. The end of a flow that is not tracked here
-// gives no measurement: another instance placed the flow, or it has expired.
-func (p *Scheduler) FlowEnded(now time.Time, number, flow uint64) {
-	u, ok := p.upstreams[number]
-	if !ok {
-		return
-	}
-	if u.suspicion.hasUnanswered(flow) {
-		// The answer may be older than the silence: the doubt remains.
-		u.suspicion = suspicion{}
-	}
-	pl := p.pools[u.info.Service]
-	pl.recentEnds(now)
-	pl.endTimes = append(pl.endTimes, now)
-	u.expire(now, pl)
-	f, counted := u.endFlow(now, flow)
-	if !counted {
-		return
-	}
-	work := now.Sub(f.at)
-	// An end does not show that the upstream responds: callers that give up end flows too.
-	pl.recordOutcome(f.class, false)
-	if u.serviceTime == 0 {
-		u.serviceTime = work
-	}
-	u.serviceTime += time.Duration(serviceTimeGain * float64(work-u.serviceTime))
-}
-
-// FlowMoved stops tracking a flow at this upstream because another one answered it.
-func (p *Scheduler) FlowMoved(number, flow uint64) {
-	u, ok := p.upstreams[number]
-	if !ok {
-		return
-	}
-	if n := u.indexOf(flow); n >= 0 {
-		u.placed = slices.Delete(u.placed, n, n+1)
-	}
-}
-
-// OutstandingFlows returns the number of outstanding flows of an upstream.
-func (p *Scheduler) OutstandingFlows(now time.Time, number uint64) int {
-	u, ok := p.upstreams[number]
-	if !ok {
-		return 0
-	}
-	u.expire(now, p.pools[u.info.Service])
-	return len(u.placed)
-}
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -2,10 +2,13 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/chervilhaven/chervilhaven/internal/catalog"
+	"github.com/chervilhaven/chervilhaven/internal/speed"
+	"github.com/chervilhaven/chervilhaven/internal/work"
 )
 
 // upstream is the scheduler's record of one upstream.
@@ -29,6 +32,9 @@
 	// lastAnswer is when it last answered an opening, zero before the first answer.
 	lastAnswer time.Time
 	doubt      doubt
+	// work is the work for open flows, speed how slow the upstream is.
+	work  work.Ledger[netip.AddrPort]
+	speed speed.Estimate
 }
 
 // placed is a flow and the time at which it was placed or, in earlyEnds, at which
@@ -37,11 +43,20 @@
 	flow  uint64
 	at    time.Time
 	class Class
+	// crowd is the number of requests for each slot when the flow was placed, at least
+	// 1, and 0 if it is not known.
+	crowd float64
+	// inherited marks a flow that another coordinator placed. Its length says nothing
+	// about the upstream: all such flows are handed over at once, and may be idle.
+	inherited bool
 }
 
 // expectedTime returns the expected time until one more flow gets its response.
-func (u *upstream) expectedTime(now time.Time, pl *pool) time.Duration {
+func (u *upstream) expectedTime(now time.Time, pl *pool, c Class) time.Duration {
 	u.expire(now, pl)
+	if pl.measured {
+		return u.measuredTime(now, pl, c)
+	}
 	work := pl.medianServiceTime
 	if w := u.serviceTimeAt(now); w > slowFactor*work {
 		work = w
@@ -74,7 +89,7 @@
 	for n < len(u.placed) && now.Sub(u.placed[n].at) > pl.flowExpiry() {
 		// A flow that outlasts its expiry indicates a slow upstream, unless flows of
 		// its class stay open between requests.
-		if c := u.placed[n].class; !pl.longLived(c) {
+		if f := u.placed[n]; !f.inherited && !pl.longLived(f.class) {
 			u.serviceTime = min(cmp.Or(u.serviceTime, pl.medianServiceTime)*5/4, maxServiceTime)
 		}
 		pl.recordOutcome(u.placed[n].class, true)
@@ -123,8 +138,12 @@
 
 // atBound reports whether the upstream has as many flows as it can work on, plus
 // a few in transit. Long-lived flows do not count: they say nothing about the load.
-func (u *upstream) atBound(now time.Time, pl *pool, c Class) bool {
+func (u *upstream) atBound(now time.Time, pl *pool, r Request) bool {
 	u.expire(now, pl)
+	if pl.measured {
+		return u.measuredAtBound(now, pl, r)
+	}
+	c := r.class()
 	slots := max(u.info.Slots, 1)
 	if c.Bulk {
 		slots *= bulkPerSlot
--- a/internal/tokenrouter/acknowledge.go
+++ b/internal/tokenrouter/acknowledge.go
@@ -40,6 +40,7 @@
 		u = rt.handleAck(now, o, u)
 	}
 	rt.forward(u, p)
+	rt.observeWork(now, o.flow, u.info.Number, true, p)
 	if p.Role == flow.RoleClose || p.Role == flow.RoleReset {
 		delete(rt.openings.flows, o.id)
 		rt.finishFlow(now, o.flow, u.info.Number)
@@ -139,6 +140,9 @@
 // finishFlow records the end of a flow and reports it to the coordinator.
 func (rt *Router) finishFlow(now time.Time, flow, number uint64) {
 	u := rt.upstreams.byNumber[number]
+	if rt.work.flows.Close(now, flow) {
+		return
+	}
 	rt.coordination.slotFreed = true
 	rt.scheduler.FlowEnded(now, number, flow)
 	rt.report(now, u.info.Service, Report{Upstream: number, Finished: []uint64{flow}})
--- a/internal/tokenrouter/caller_test.go
+++ b/internal/tokenrouter/caller_test.go
@@ -44,14 +44,19 @@
 	keepsOpen bool
 	// dropPackets loses all packets of the flow after its opening packets.
 	dropPackets bool
+	// session is set if the caller sends several requests on its flow.
+	session *session
 	// via is the instance that gets all packets, nil to let the network fabric
 	// choose.
 	via *node
 }
 
-// packetOf encodes a caller's packet: the index of the caller and the role.
-func packetOf(index int, role flow.Role) []byte {
-	return append(binary.BigEndian.AppendUint32(nil, uint32(index)), byte(role))
+// packetBytes is the size of a packet without data.
+const packetBytes = 5
+
+// packetOf encodes a caller's packet: the index of the caller, the role and the data.
+func packetOf(index int, role flow.Role, data int) []byte {
+	return append(append(binary.BigEndian.AppendUint32(nil, uint32(index)), byte(role)), make([]byte, data)...)
 }
 
 // deliver handles a packet that arrives at an upstream.
@@ -73,7 +78,7 @@
 			u.misrouted++
 			return
 		}
-		if !u.opened[key] {
+		if first := !u.opened[key]; first || len(raw) > packetBytes {
 			u.flows[key], u.opened[key] = true, true
 			u.serve(c, t)
 		}
@@ -158,7 +163,7 @@
 
 func (c *caller) send(p *Packet) {
 	index := slices.Index(c.w.callers, c)
-	p.Source, p.Destination, p.Raw, p.Token = c.source, c.destination, packetOf(index, p.Role), c.token
+	p.Source, p.Destination, p.Raw, p.Token = c.source, c.destination, packetOf(index, p.Role, p.Head.Length), c.token
 	if p.Role == flow.RoleOpen {
 		p.Token = 0
 	}
@@ -201,11 +206,19 @@
 		return
 	}
 	c.openedUpstream = u.info.Number
+	if c.session != nil {
+		c.sendRequest()
+		return
+	}
 	c.send(&Packet{Role: flow.RoleData})
 }
 
 // handleResponse handles the response to the request.
 func (c *caller) handleResponse(t token.Token) {
+	if c.session != nil {
+		c.handleAnswer(false)
+		return
+	}
 	if c.answeredAt.IsZero() {
 		c.token, c.answeredAt = t, c.w.now
 		if !c.keepsOpen {
@@ -217,6 +230,10 @@
 // handleShed handles the answer of an upstream that sheds the request.
 func (c *caller) handleShed(t token.Token) {
 	c.token = t
+	if c.session != nil {
+		c.handleAnswer(true)
+		return
+	}
 	c.send(&Packet{Role: flow.RoleClose})
 }
 
@@ -224,21 +241,27 @@
 
 // load opens flows at the given rate per second for d. The returned list fills
 // as they start.
-func (w *world) load(rate float64, d time.Duration) *[]*caller {
+func (w *world) load(rate float64, d time.Duration) *[]*caller { return w.loadTo(deskRoute, rate, d) }
+
+// loadTo is load for a route.
+func (w *world) loadTo(destination netip.AddrPort, rate float64, d time.Duration) *[]*caller {
 	list := &[]*caller{}
 	gap := time.Duration(float64(time.Second) / rate)
 	for at := time.Duration(0); at < d; at += gap {
-		w.after(at+time.Duration(w.random.Int64N(int64(gap))), func() { *list = append(*list, w.call(deskRoute, nil)) })
+		w.after(at+time.Duration(w.random.Int64N(int64(gap))), func() { *list = append(*list, w.call(destination, nil)) })
 	}
 	return list
 }
 
 // shareInTime returns the share of flows that were answered within
 // targetLatency.
-func shareInTime(list []*caller) float64 {
+func shareInTime(list []*caller) float64 { return shareWithin(list, targetLatency) }
+
+// shareWithin returns the share of flows that were answered within a time.
+func shareWithin(list []*caller, bound time.Duration) float64 {
 	n := 0
 	for _, c := range list {
-		if !c.answeredAt.IsZero() && c.latency() <= targetLatency {
+		if !c.answeredAt.IsZero() && c.latency() <= bound {
 			n++
 		}
 	}
--- a/internal/tokenrouter/choose.go
+++ b/internal/tokenrouter/choose.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/chervilhaven/chervilhaven/internal/admission"
 	"github.com/chervilhaven/chervilhaven/internal/catalog"
 	"github.com/chervilhaven/chervilhaven/internal/scheduler"
 )
@@ -25,12 +26,22 @@
 		rt.chooseLocally(now, o, &ask)
 		return
 	}
-	o.phaseDeadline = now.Add(askTimeout)
+	o.phaseDeadline = now.Add(rt.askTimeout(now, c, o.route.Service))
 	m := rt.messageTo(c)
 	m.Asks = append(m.Asks, ask)
 	rt.scheduleTick(o.phaseDeadline)
 }
 
+// askTimeout returns the time allowed for the answer of a coordinator. While its
+// upstreams have no room, an instance that places flows by itself would only pass by those
+// that wait.
+func (rt *Router) askTimeout(now time.Time, c *peer, service string) time.Duration {
+	if rt.work.idleTimeout > 0 && rt.work.kept[service] && now.Sub(c.roomShortAt) < roomShortPeriod {
+		return askTimeoutWithoutRoom
+	}
+	return askTimeout
+}
+
 // newAsk returns the request for an upstream that is sent to the coordinator.
 func (rt *Router) newAsk(now time.Time, o *opening) Ask {
 	return Ask{
@@ -60,7 +71,7 @@
 
 // placeLocally places an opening without asking another instance. If all
 // upstreams are full, the opening waits in the local queue.
-func (rt *Router) placeLocally(now time.Time, o *opening, a *Ask, t *scheduler.PendingFlow) uint64 {
+func (rt *Router) placeLocally(now time.Time, o *opening, a *Ask, t *admission.PendingFlow) uint64 {
 	number, verdict := rt.allocate(now, nil, a.Flow, t)
 	switch verdict {
 	case scheduler.Full:
--- a/internal/tokenrouter/coordination.go
+++ b/internal/tokenrouter/coordination.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/chervilhaven/chervilhaven/internal/admission"
 	"github.com/chervilhaven/chervilhaven/internal/catalog"
 	"github.com/chervilhaven/chervilhaven/internal/scheduler"
 )
@@ -42,7 +43,7 @@
 // coordination is the state for the groups of upstreams that this instance
 // coordinates.
 type coordination struct {
-	queue scheduler.Queue[uint64]
+	queue admission.Queue[uint64]
 	// requesters holds the peers that asked for the queued flows, nil for this
 	// instance.
 	requesters map[uint64]*peer
@@ -52,6 +53,10 @@
 	// slotFreed is true if a slot at an upstream may have become free.
 	slotFreed bool
 	nextServe time.Time
+	// refusals holds what is known of the room of the groups that this instance
+	// coordinates, nextRefusal is when it next looks for flows without a chance.
+	refusals    map[group]*admission.Refusals
+	nextRefusal time.Time
 	// lastCoordinators holds the last known coordinator of each group, nil for
 	// this instance.
 	lastCoordinators map[group]*peer
@@ -91,8 +96,9 @@
 		rt.report(now, g.service, Report{Upstream: f.Upstream, Finished: []uint64{f.Flow}})
 	}
 	for _, f := range flows {
-		rt.report(now, g.service, Report{Upstream: f.Upstream, Taken: []Taken{{f.Flow, now.Sub(f.At)}}})
+		rt.report(now, g.service, Report{Upstream: f.Upstream, Taken: []Taken{{f.Flow, now.Sub(f.At), f.Class}}})
 	}
+	rt.renewWork(g)
 	rt.log("accountant-changed", "service", g.service, "group", strconv.Itoa(g.number), "to", to.address.String(), "flows", strconv.Itoa(len(flows)))
 }
 
@@ -107,7 +113,7 @@
 // allocate places a flow, or queues it if the upstreams are full. A flow that
 // was granted recently gets the same upstream again, whichever instance asks,
 // unless that upstream is to be avoided or the route has another service now.
-func (rt *Router) allocate(now time.Time, from *peer, flow uint64, t *scheduler.PendingFlow) (uint64, scheduler.Verdict) {
+func (rt *Router) allocate(now time.Time, from *peer, flow uint64, t *admission.PendingFlow) (uint64, scheduler.Verdict) {
 	s := &rt.coordination
 	if g, ok := s.assignment[flow]; ok {
 		if !slices.Contains(t.Request.Avoid, g.upstream) && rt.serves(g.upstream, t.Request.Service) {
@@ -115,11 +121,13 @@
 		}
 		delete(s.assignment, flow)
 	}
+	rt.classify(t)
 	number, verdict := rt.placeInGroup(now, t)
 	switch verdict {
 	case scheduler.Placed:
 		s.assignment[flow] = assignment{number, now}
 		s.queue.Remove(flow)
+		rt.refusalsOf(t).Placed(now)
 	case scheduler.Full:
 		s.queue.Add(flow, *t)
 		s.requesters[flow] = from
@@ -130,8 +138,8 @@
 
 // newPendingFlow returns the flow of an Ask as the scheduler needs it to place or
 // queue the flow. dataCentre is that of the instance that sent the Ask.
-func newPendingFlow(now time.Time, a *Ask, dataCentre string) scheduler.PendingFlow {
-	return scheduler.PendingFlow{
+func newPendingFlow(now time.Time, a *Ask, dataCentre string) admission.PendingFlow {
+	return admission.PendingFlow{
 		Request: scheduler.Request{
 			Service: a.Service, Flow: a.Flow, Group: a.Group, DataCentre: dataCentre, Avoid: a.Avoid, Target: a.Target, Bounded: true, Bulk: a.Bulk,
 		},
@@ -142,7 +150,7 @@
 // placeInGroup places a flow at an upstream of the requested group. Late flows
 // are limited while the instance starts up and when it places flows without the
 // coordinator.
-func (rt *Router) placeInGroup(now time.Time, t *scheduler.PendingFlow) (uint64, scheduler.Verdict) {
+func (rt *Router) placeInGroup(now time.Time, t *admission.PendingFlow) (uint64, scheduler.Verdict) {
 	t.Request.ServiceLimit = 0
 	if (rt.startingUp(now) || t.WithoutCoordinator) && t.Late(now) {
 		t.Request.ServiceLimit = rt.startupLimit(t.Request.Service)
@@ -180,17 +188,19 @@
 	}
 	s.slotFreed, s.nextServe = false, now.Add(queueServeInterval)
 	rt.scheduleTick(s.nextServe)
-	s.queue.Serve(now, func(flow uint64, t *scheduler.PendingFlow) bool {
+	s.queue.Serve(now, func(flow uint64, t *admission.PendingFlow) bool {
 		number, verdict := rt.placeInGroup(now, t)
 		if verdict == scheduler.Full {
 			return false
 		}
 		if verdict == scheduler.Placed {
 			s.assignment[flow] = assignment{number, now}
+			rt.refusalsOf(t).Placed(now)
 		}
 		rt.sendGrant(now, s.requesters[flow], flow, number)
 		return true
 	})
+	rt.refuseExcess(now)
 }
 
 // sendGrant tells the requester which upstream its flow got.
@@ -221,6 +231,7 @@
 			delete(rt.coordination.assignment, flow)
 		}
 	}
+	rt.coordination.queue.DropExpired(now)
 }
 
 // handleGrant offers an opening to the upstream that the coordinator granted. A
@@ -235,12 +246,16 @@
 		return
 	}
 	if g.Queued {
+		p.roomShortAt = now
 		o.phaseDeadline = now.Add(queueRecheckInterval)
 		rt.scheduleTick(o.phaseDeadline)
 		o.queued = true
 		return
 	}
 	delete(rt.openings.pendingAsks, g.Flow)
+	if g.Refused && rt.refuseWaiting(o) {
+		return
+	}
 	if reason := rt.unusable(now, o, g.Upstream); reason != "" {
 		if g.Upstream != 0 {
 			rt.flowLog("grant-returned", o.id, "service", o.route.Service, "upstream", strconv.FormatUint(g.Upstream, 16), "reason", reason)
@@ -317,9 +332,9 @@
 
 // handleReport updates the counts of an upstream from another instance's report.
 func (rt *Router) handleReport(now time.Time, p *peer, r *Report) {
-	rt.coordination.slotFreed = rt.coordination.slotFreed || len(r.Finished)+len(r.Moved) > 0
+	rt.coordination.slotFreed = rt.coordination.slotFreed || len(r.Finished)+len(r.Moved)+len(r.Idle) > 0
 	for _, t := range r.Taken {
-		rt.scheduler.TrackFlow(now, scheduler.OutstandingFlow{Upstream: r.Upstream, Flow: t.Flow, At: now.Add(-t.Age)})
+		rt.scheduler.TrackFlow(now, scheduler.OutstandingFlow{Upstream: r.Upstream, Flow: t.Flow, At: now.Add(-t.Age), Class: t.Class, Inherited: t.Age > 0})
 	}
 	for _, flow := range r.Finished {
 		rt.scheduler.FlowEnded(now, r.Upstream, flow)
@@ -327,6 +342,9 @@
 	for _, flow := range r.Moved {
 		rt.scheduler.FlowMoved(r.Upstream, flow)
 	}
+	for _, t := range r.Idle {
+		rt.scheduler.FlowIdle(now, r.Upstream, t.Flow, t.Age)
+	}
 	if r.Answered > 0 {
 		rt.recordAnswer(now, r.Upstream)
 	}
--- a/internal/tokenrouter/coordination_test.go
+++ b/internal/tokenrouter/coordination_test.go
@@ -96,7 +96,7 @@
 		n.router.routes[deskRoute] = catalog.Route{Address: deskRoute, Service: ledger, Target: targetLatency, Deadline: time.Second}
 	}
 	before := len(u.openTimes)
-	other.apply(&Packet{Source: c.source, Destination: deskRoute, Role: flow.RoleOpen, Retransmission: 1, Raw: packetOf(0, flow.RoleOpen)})
+	other.apply(&Packet{Source: c.source, Destination: deskRoute, Role: flow.RoleOpen, Retransmission: 1, Raw: packetOf(0, flow.RoleOpen, 0)})
 	w.advance(10 * time.Millisecond)
 	if len(u.openTimes) == before {
 		t.Errorf("the flow was not opened at an upstream of %q", ledger)
--- a/internal/tokenrouter/count.go
+++ b/internal/tokenrouter/count.go
@@ -10,6 +10,8 @@
 	Pinned uint64 `json:"pinned"`
 	// Refused counts openings that were reset.
 	Refused uint64 `json:"refused"`
+	// RefusedWithoutRoom counts those of them that no upstream could have answered in time.
+	RefusedWithoutRoom uint64 `json:"refused-without-room"`
 	// Abandoned counts openings that no caller acknowledged.
 	Abandoned uint64 `json:"abandoned"`
 	// Forwarded counts packets of established flows.
--- a/internal/tokenrouter/event.go
+++ b/internal/tokenrouter/event.go
@@ -7,6 +7,7 @@
 	"github.com/chervilhaven/chervilhaven/internal/catalog"
 	"github.com/chervilhaven/chervilhaven/internal/scheduler"
 	"github.com/chervilhaven/chervilhaven/internal/token"
+	"github.com/chervilhaven/chervilhaven/internal/work"
 	"github.com/chervilhaven/chervilhaven/pkg/flow"
 )
 
@@ -23,7 +24,9 @@
 	// Retransmission is the number of the retransmission of an opening packet, 0
 	// for the first transmission.
 	Retransmission uint32
-	Raw            []byte
+	// Head holds the numbers of the bytes that the packet carries and acknowledges.
+	Head work.Head
+	Raw  []byte
 }
 
 // StoreRead is the result of a ReadStore effect: the full content of the
@@ -116,6 +119,8 @@
 	Pins    []Pin
 	// Doubts are upstreams that may have restarted without their entries saying so.
 	Doubts []scheduler.Doubt
+	// Work is the work of upstreams for open flows whose packets pass the sender.
+	Work []work.Total
 }
 
 // Answer is the kind of an answer that a message requests.
@@ -181,6 +186,8 @@
 	Upstream uint64
 	// Queued is true if the flow waits for a free slot at an upstream.
 	Queued bool
+	// Refused is true if no upstream can answer the flow while its caller waits.
+	Refused bool
 }
 
 // Report tells the coordinator about flows at one upstream.
@@ -200,12 +207,17 @@
 	// sent to it but answered by another upstream.
 	Answered int
 	Silent   int
+	// Idle holds flows that stay open after the answer to their first request.
+	Idle []Taken
 }
 
-// Taken is a flow that has occupied its upstream for the duration Age.
+// Taken is a flow that has occupied its upstream for the duration Age or, in
+// Report.Idle, that its upstream answered that long ago.
 type Taken struct {
 	Flow uint64
 	Age  time.Duration
+	// Class is that of the flow, zero if it is not known.
+	Class scheduler.Class
 }
 
 // EffectKind is the action that an Effect requests from the runtime.
--- a/internal/tokenrouter/heartbeat.go
+++ b/internal/tokenrouter/heartbeat.go
@@ -191,6 +191,7 @@
 		rt.handlePin(now, s)
 	}
 	rt.handleDoubts(now, m.Doubts)
+	rt.handleWork(now, p, m)
 	for i := range m.Asks {
 		rt.handleAsk(now, p, &m.Asks[i])
 	}
--- a/internal/tokenrouter/opening.go
+++ b/internal/tokenrouter/opening.go
@@ -25,6 +25,10 @@
 	// askTimeout is the time allowed for the coordinator's answer: two one-way
 	// trips between data centres, plus scheduling delay on a busy processor.
 	askTimeout = 8 * time.Millisecond
+	// askTimeoutWithoutRoom is that time while upstreams have no room, as of
+	// roomShortPeriod ago at most.
+	askTimeoutWithoutRoom = 40 * time.Millisecond
+	roomShortPeriod       = time.Second
 	// initialAckTime is the assumed time to the caller's acknowledgement until
 	// one has been measured: two one-way trips of 3 ms to the caller plus a
 	// margin.
@@ -191,6 +195,7 @@
 		delete(rt.openings.flows, id)
 	}
 	rt.forward(u, p)
+	rt.observeWork(now, hash, u.info.Number, o != nil, p)
 	if p.Role == flow.RoleClose || p.Role == flow.RoleReset {
 		rt.pins.forgetSeen(hash)
 		rt.finishFlow(now, hash, u.info.Number)
--- a/internal/tokenrouter/pin_test.go
+++ b/internal/tokenrouter/pin_test.go
@@ -207,7 +207,7 @@
 		clear(n.router.coordination.assignment)
 	}
 	for _, n := range w.nodes[:1] {
-		n.apply(&Packet{Source: c.source, Destination: deskRoute, Role: flow.RoleOpen, Retransmission: 1, Raw: packetOf(0, flow.RoleOpen)})
+		n.apply(&Packet{Source: c.source, Destination: deskRoute, Role: flow.RoleOpen, Retransmission: 1, Raw: packetOf(0, flow.RoleOpen, 0)})
 	}
 	w.advance(100 * time.Millisecond)
 	for number, u := range w.upstreams {
@@ -226,7 +226,7 @@
 	for _, n := range w.nodes {
 		clear(n.router.coordination.assignment)
 	}
-	second.apply(&Packet{Source: c.source, Destination: deskRoute, Role: flow.RoleOpen, Retransmission: 1, Raw: packetOf(0, flow.RoleOpen)})
+	second.apply(&Packet{Source: c.source, Destination: deskRoute, Role: flow.RoleOpen, Retransmission: 1, Raw: packetOf(0, flow.RoleOpen, 0)})
 	c.via = second
 	w.advance(500 * time.Millisecond)
 	if c.answeredAt.IsZero() {
@@ -247,7 +247,7 @@
 		clear(n.router.coordination.assignment)
 	}
 	w.cutOff = func(a, b *node) bool { return a == second || b == second }
-	second.apply(&Packet{Source: c.source, Destination: deskRoute, Role: flow.RoleOpen, Retransmission: 1, Raw: packetOf(0, flow.RoleOpen)})
+	second.apply(&Packet{Source: c.source, Destination: deskRoute, Role: flow.RoleOpen, Retransmission: 1, Raw: packetOf(0, flow.RoleOpen, 0)})
 	o := second.router.openings.flows[flowID{c.source, deskRoute}]
 	if o == nil {
 		t.Fatal("the copy of the opening packet is not held")
--- a/internal/tokenrouter/router.go
+++ b/internal/tokenrouter/router.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"time"
 
+	"github.com/chervilhaven/chervilhaven/internal/admission"
 	"github.com/chervilhaven/chervilhaven/internal/catalog"
 	"github.com/chervilhaven/chervilhaven/internal/scheduler"
 )
@@ -48,6 +49,8 @@
 	scheduler scheduler.Scheduler
 	upstreams upstreamTable
 	routes    map[netip.AddrPort]catalog.Route
+	// leastUrgent holds the priority of the least urgent route of each service.
+	leastUrgent map[string]int
 	// out holds the names of the data centres that operators took out of service.
 	// Their upstreams get no new flows.
 	out map[string]bool
@@ -59,6 +62,7 @@
 	reader            reader
 	openings          openings
 	pins              pins
+	work              openWork
 	// earlyDoubts are doubts of other instances about upstreams that are not known yet.
 	earlyDoubts         map[uint64]scheduler.Doubt
 	coordination        coordination
@@ -89,6 +93,8 @@
 	rt.roster.peers = make(map[netip.AddrPort]*peer)
 	rt.coordination.requesters, rt.coordination.assignment = make(map[uint64]*peer), make(map[uint64]assignment)
 	rt.coordination.lastCoordinators = make(map[group]*peer)
+	rt.coordination.refusals = make(map[group]*admission.Refusals)
+	rt.work.kept = make(map[string]bool)
 	rt.pins, rt.earlyDoubts = newPins(), make(map[uint64]scheduler.Doubt)
 	rt.openings.flows = make(map[flowID]*opening)
 	rt.openings.pendingAsks = make(map[uint64]*opening)
@@ -167,6 +173,7 @@
 	rt.relayIfDue(now)
 	rt.serveQueue(now)
 	rt.expireOpenings(now)
+	rt.tellWork(now)
 	rt.scheduleTick(rt.roster.next)
 	if !rt.reader.reading {
 		rt.scheduleTick(rt.reader.next)
--- /dev/null
+++ b/internal/tokenrouter/session_test.go
@@ -0,0 +1,108 @@
+package tokenrouter
+
+import (
+	"time"
+
+	"github.com/chervilhaven/chervilhaven/internal/catalog"
+	"github.com/chervilhaven/chervilhaven/internal/work"
+	"github.com/chervilhaven/chervilhaven/pkg/flow"
+)
+
+// idleTimeout is the time for which flows may stay open in the tests' configurations
+// that let them.
+const idleTimeout = 15 * time.Second
+
+// Sizes of the requests and responses of sessions, in bytes.
+const (
+	requestBytes  = 200
+	responseBytes = 1000
+)
+
+// urgentRoute and patientRoute lead to the service "desk". Callers of patientRoute keep
+// their flows open.
+var urgentRoute, patientRoute = deskRoute, ledgerRoute
+
+// configureSessions publishes a configuration with an urgent and a patient class of one
+// service. Flows stay open for the given time without packets.
+func (w *world) configureSessions(version uint64, idle time.Duration) {
+	w.put(catalog.Item{Key: catalog.KeyConfiguration, Configuration: &catalog.Configuration{
+		Version: version, IdleTimeout: idle,
+		Routes: []catalog.Route{
+			{Address: urgentRoute, Service: "desk", Work: catalog.Once, Target: 400 * time.Millisecond, Deadline: 5 * time.Second, Priority: 1},
+			{Address: patientRoute, Service: "desk", Work: catalog.Idempotent, Target: 300 * time.Millisecond, Deadline: 4 * time.Second, Priority: 2},
+		},
+		Services: []catalog.Service{{Name: "desk", ColdFor: 2 * time.Second}},
+	}})
+}
+
+// session is what a caller does that sends several requests on its flow.
+type session struct {
+	// asked and answered are the numbers of bytes of requests and responses.
+	asked    uint32
+	answered uint32
+	busy     bool
+	requests []request
+}
+
+// request is one request of a session, unanswered while took is zero.
+type request struct {
+	at   time.Time
+	took time.Duration
+	shed bool
+}
+
+// startSession opens a flow that sends its next request about each pause, unless the one
+// before is not answered.
+func (w *world) startSession(pause time.Duration) *session {
+	s := &session{}
+	c := w.call(patientRoute, nil)
+	c.session = s
+	var next func()
+	next = func() {
+		if c.openedUpstream != 0 && !s.busy {
+			c.sendRequest()
+		}
+		w.after(pause/2+time.Duration(w.random.Int64N(int64(pause))), next)
+	}
+	w.after(time.Duration(w.random.Int64N(int64(pause))), next)
+	return s
+}
+
+// sendRequest sends the next request of a session.
+func (c *caller) sendRequest() {
+	s := c.session
+	s.busy, s.requests = true, append(s.requests, request{at: c.w.now})
+	head := work.Head{Sequence: s.asked, Length: requestBytes, Acknowledgement: s.answered}
+	s.asked += requestBytes
+	c.send(&Packet{Role: flow.RoleData, Head: head})
+}
+
+// handleAnswer handles the response to the request of a session, and acknowledges it.
+func (c *caller) handleAnswer(shed bool) {
+	s := c.session
+	s.busy = false
+	last := &s.requests[len(s.requests)-1]
+	last.took, last.shed = c.w.now.Sub(last.at), shed
+	s.answered += responseBytes
+	c.send(&Packet{Role: flow.RoleData, Head: work.Head{Sequence: s.asked, Acknowledgement: s.answered}})
+}
+
+// shareOfRequestsInTime returns the share of the sessions' requests of an interval that
+// were answered within the target, and the share that upstreams shed.
+func shareOfRequestsInTime(list []*session, from, to time.Time, target time.Duration) (inTime, shed float64) {
+	all, good, bad := 0, 0, 0
+	for _, s := range list {
+		for _, r := range s.requests {
+			if r.at.Before(from) || !r.at.Before(to) {
+				continue
+			}
+			all++
+			if r.shed {
+				bad++
+			} else if r.took > 0 && r.took <= target {
+				good++
+			}
+		}
+	}
+	return float64(good) / float64(max(all, 1)), float64(bad) / float64(max(all, 1))
+}
--- a/internal/tokenrouter/upstream.go
+++ b/internal/tokenrouter/upstream.go
@@ -132,6 +132,7 @@
 		rt.scheduler.SetCold(s.Name, s.ColdFor, s.ColdPerSecond)
 	}
 	rt.routes = routeTable(c.Routes)
+	rt.work.idleTimeout, rt.leastUrgent = c.IdleTimeout, leastUrgent(c.Routes)
 	rt.log("configuration-changed", "source", source, "revision", revision(i.Revision),
 		"version", strconv.FormatUint(c.Version, 10), "routes", strconv.Itoa(len(c.Routes)),
 		"since-start", now.Sub(rt.started).String())
--- a/internal/tokenrouter/world_test.go
+++ b/internal/tokenrouter/world_test.go
@@ -270,7 +270,7 @@
 // IP headers.
 func messageBytes(m *Message) int {
 	const udpAndIP, fields = 28, 16
-	n := udpAndIP + fields + len(m.DataCentre) + 40*len(m.Asks) + 25*len(m.Grants) + 30*len(m.Reports) + 14*len(m.Readers) + 8*len(m.Relay)
+	n := udpAndIP + fields + len(m.DataCentre) + 40*len(m.Asks) + 25*len(m.Grants) + 30*len(m.Reports) + 14*len(m.Readers) + 8*len(m.Relay) + 25*len(m.Work)
 	for _, g := range m.Peers {
 		n += 8 + len(g.DataCentre) + 11*len(g.Peers)
 	}
--- a/internal/tokenserver/convert.go
+++ b/internal/tokenserver/convert.go
@@ -10,8 +10,12 @@
 	"github.com/chervilhaven/chervilhaven/internal/peer/edgev1"
 	"github.com/chervilhaven/chervilhaven/internal/scheduler"
 	"github.com/chervilhaven/chervilhaven/internal/tokenrouter"
+	"github.com/chervilhaven/chervilhaven/internal/work"
 )
 
+// maxCount limits the counts in messages of other instances.
+const maxCount = 1 << 31
+
 // addressToProto returns an IPv4 address and its port as integers, and two zeros
 // for any other address.
 func addressToProto(a netip.AddrPort) (ip, port uint32) {
@@ -105,13 +109,16 @@
 		})
 	}
 	for _, g := range m.Grants {
-		p.Grants = append(p.Grants, &edgev1.Grant{Flow: g.Flow, Upstream: g.Upstream, Queued: g.Queued})
+		p.Grants = append(p.Grants, &edgev1.Grant{Flow: g.Flow, Upstream: g.Upstream, Queued: g.Queued, Refused: g.Refused})
 	}
 	for _, r := range m.Reports {
 		p.Reports = append(p.Reports, &edgev1.Report{
-			Upstream: r.Upstream, Finished: r.Finished, Moved: r.Moved, Taken: takenToProto(r.Taken), Answered: uint32(r.Answered), Unanswered: r.Unanswered, Silent: uint32(r.Silent),
+			Upstream: r.Upstream, Finished: r.Finished, Moved: r.Moved, Taken: takenToProto(r.Taken), Answered: uint32(r.Answered), Unanswered: r.Unanswered, Silent: uint32(r.Silent), Idle: idleToProto(r.Idle),
 		})
 	}
+	for i := range m.Work {
+		p.Work = append(p.Work, workToProto(&m.Work[i]))
+	}
 	return p
 }
 
@@ -149,25 +156,46 @@
 		})
 	}
 	for _, g := range p.GetGrants() {
-		m.Grants = append(m.Grants, tokenrouter.Grant{Flow: g.GetFlow(), Upstream: g.GetUpstream(), Queued: g.GetQueued()})
+		m.Grants = append(m.Grants, tokenrouter.Grant{Flow: g.GetFlow(), Upstream: g.GetUpstream(), Queued: g.GetQueued(), Refused: g.GetRefused()})
 	}
 	for _, r := range p.GetReports() {
 		m.Reports = append(m.Reports, tokenrouter.Report{
-			Upstream: r.GetUpstream(), Finished: r.GetFinished(), Moved: r.GetMoved(), Taken: takenFromProto(r.GetTaken()), Answered: int(r.GetAnswered()), Unanswered: r.GetUnanswered(), Silent: int(r.GetSilent()),
+			Upstream: r.GetUpstream(), Finished: r.GetFinished(), Moved: r.GetMoved(), Taken: takenFromProto(r.GetTaken()), Answered: int(r.GetAnswered()), Unanswered: r.GetUnanswered(), Silent: int(r.GetSilent()), Idle: idleFromProto(r.GetIdle()),
 		})
 	}
+	for _, t := range p.GetWork() {
+		m.Work = append(m.Work, workFromProto(t))
+	}
 	return m
 }
 
 func takenToProto(list []tokenrouter.Taken) []*edgev1.Taken {
 	out := make([]*edgev1.Taken, 0, len(list))
 	for _, t := range list {
-		out = append(out, &edgev1.Taken{Flow: t.Flow, AgeMs: milliseconds(t.Age)})
+		out = append(out, &edgev1.Taken{Flow: t.Flow, AgeMs: milliseconds(t.Age), TargetMs: milliseconds(t.Class.Target), Bulk: t.Class.Bulk})
 	}
 	return out
 }
 
 func takenFromProto(list []*edgev1.Taken) []tokenrouter.Taken {
+	var out []tokenrouter.Taken
+	for _, t := range list {
+		out = append(out, tokenrouter.Taken{
+			Flow: t.GetFlow(), Age: duration(t.GetAgeMs()), Class: scheduler.Class{Target: duration(t.GetTargetMs()), Bulk: t.GetBulk()},
+		})
+	}
+	return out
+}
+
+func idleToProto(list []tokenrouter.Taken) []*edgev1.Idle {
+	var out []*edgev1.Idle
+	for _, t := range list {
+		out = append(out, &edgev1.Idle{Flow: t.Flow, AgeMs: milliseconds(t.Age)})
+	}
+	return out
+}
+
+func idleFromProto(list []*edgev1.Idle) []tokenrouter.Taken {
 	var out []tokenrouter.Taken
 	for _, t := range list {
 		out = append(out, tokenrouter.Taken{Flow: t.GetFlow(), Age: duration(t.GetAgeMs())})
@@ -175,6 +203,23 @@
 	return out
 }
 
+func workToProto(t *work.Total) *edgev1.Work {
+	return &edgev1.Work{
+		Upstream: t.Upstream, Open: uint32(t.Open), UnderWay: uint32(t.UnderWay), Ended: t.Ended,
+		TookMs: uint64(t.Took.Milliseconds()), BusyMs: uint64(t.Busy.Milliseconds()),
+	}
+}
+
+func workFromProto(p *edgev1.Work) work.Total {
+	return work.Total{
+		Upstream: p.GetUpstream(), Open: count(p.GetOpen()), UnderWay: count(p.GetUnderWay()), Ended: min(p.GetEnded(), maxCount),
+		Took: time.Duration(min(p.GetTookMs(), maxCount)) * time.Millisecond, Busy: time.Duration(min(p.GetBusyMs(), maxCount)) * time.Millisecond,
+	}
+}
+
+// count limits what a message says to what a sum of many of them can hold.
+func count(n uint32) int { return int(min(n, maxCount)) }
+
 func batchToProto(b *catalog.Batch) *edgev1.Batch {
 	p := &edgev1.Batch{Era: uint64(b.Era), Since: uint64(b.Since), Through: uint64(b.Through), Whole: b.Snapshot}
 	for i := range b.Items {
--- a/internal/tokenserver/malformed_test.go
+++ b/internal/tokenserver/malformed_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/chervilhaven/chervilhaven/internal/peer/edgev1"
 	"github.com/chervilhaven/chervilhaven/internal/tokenrouter"
+	"github.com/chervilhaven/chervilhaven/internal/work"
 	"github.com/chervilhaven/chervilhaven/pkg/flow"
 )
 
@@ -65,6 +66,8 @@
 		{DataCentre: "a", Hello: true, News: &b},
 		{DataCentre: "b", Asks: []tokenrouter.Ask{{Service: "desk", Group: 1 << 20}}, Grants: []tokenrouter.Grant{{Upstream: 1}}},
 		{DataCentre: "a", Reports: []tokenrouter.Report{{Upstream: 1, Finished: []uint64{2}, Taken: []tokenrouter.Taken{{Flow: 3}}, Silent: 9}}},
+		{DataCentre: "a", Work: []work.Total{{Upstream: 1, Open: 1 << 40, UnderWay: 1 << 40, Ended: 1 << 60, Took: 1 << 62, Busy: 1 << 62}}},
+		{DataCentre: "a", Reports: []tokenrouter.Report{{Upstream: 1, Idle: []tokenrouter.Taken{{Flow: 3, Age: 1 << 40}}}}},
 		{DataCentre: "a", Peers: []tokenrouter.PeerGroup{{Peers: []tokenrouter.PeerState{{Address: netip.MustParseAddrPort("10.0.0.1:0"), Dead: true}}}}},
 	} {
 		encoded, err := proto.Marshal(messageToProto(m))
--- a/internal/tokenserver/server_test.go
+++ b/internal/tokenserver/server_test.go
@@ -22,6 +22,7 @@
 	"github.com/chervilhaven/chervilhaven/internal/scheduler"
 	"github.com/chervilhaven/chervilhaven/internal/token"
 	"github.com/chervilhaven/chervilhaven/internal/tokenrouter"
+	"github.com/chervilhaven/chervilhaven/internal/work"
 	"github.com/chervilhaven/chervilhaven/pkg/flow"
 )
 
@@ -62,11 +63,16 @@
 			Flow: 2, Service: "desk", Group: 3, Avoid: []uint64{4}, Age: 5 * time.Millisecond, Seen: 6 * time.Millisecond,
 			Target: 7 * time.Millisecond, Deadline: 8 * time.Millisecond, Priority: 1, Bulk: true,
 		}},
-		Seeks:   []tokenrouter.Seek{{Flow: 11, Age: 12 * time.Millisecond}},
-		Pins:    []tokenrouter.Pin{{Flow: 13, Upstream: 14, Age: time.Minute}},
-		Doubts:  []scheduler.Doubt{{Upstream: 15}, {Upstream: 16, ColdFor: time.Second}},
-		Grants:  []tokenrouter.Grant{{Flow: 9, Upstream: 2, Queued: true}},
-		Reports: []tokenrouter.Report{{Upstream: 1, Finished: []uint64{2}, Moved: []uint64{3, 8}, Taken: []tokenrouter.Taken{{Flow: 4, Age: 20 * time.Millisecond}}, Answered: 5, Unanswered: []uint64{7}, Silent: 6}},
+		Seeks:  []tokenrouter.Seek{{Flow: 11, Age: 12 * time.Millisecond}},
+		Pins:   []tokenrouter.Pin{{Flow: 13, Upstream: 14, Age: time.Minute}},
+		Doubts: []scheduler.Doubt{{Upstream: 15}, {Upstream: 16, ColdFor: time.Second}},
+		Grants: []tokenrouter.Grant{{Flow: 9, Upstream: 2, Queued: true}, {Flow: 10, Refused: true}},
+		Reports: []tokenrouter.Report{{
+			Upstream: 1, Finished: []uint64{2}, Moved: []uint64{3, 8}, Answered: 5, Unanswered: []uint64{7}, Silent: 6,
+			Taken: []tokenrouter.Taken{{Flow: 4, Age: 20 * time.Millisecond, Class: scheduler.Class{Target: 7 * time.Millisecond, Bulk: true}}},
+			Idle:  []tokenrouter.Taken{{Flow: 5, Age: 50 * time.Millisecond}},
+		}},
+		Work: []work.Total{{Upstream: 17, Open: 18, UnderWay: 19, Ended: 20, Took: 21 * time.Millisecond, Busy: 22 * time.Millisecond}},
 	}
 	if d := cmp.Diff(m, messageFromProto(messageToProto(m)), compareAddresses); d != "" {
 		t.Errorf("message (-want +got):\n%s", d)
--- /dev/null
+++ b/internal/work/flows_test.go
@@ -0,0 +1,113 @@
+package work
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// at returns the time d after an arbitrary start.
+func at(d time.Duration) time.Time { return time.Unix(1_700_000_000, 0).Add(d) }
+
+const ms = time.Millisecond
+
+// totals returns all totals that are due.
+func totals(s *Flows, now time.Time) []Total {
+	var list []Total
+	s.Totals(now, time.Second, func(t Total) bool { list = append(list, t); return true })
+	return list
+}
+
+// The heads of a flow with three requests, as a caller sends them: its request, the
+// acknowledgement of the answer, and later the next request.
+func TestRequestsOfOpenFlowAreCounted(t *testing.T) {
+	var s Flows
+	changes := []Change{
+		s.Observe(at(0), 1, 7, true, Head{Sequence: 100, Length: 50, Acknowledgement: 900}),
+		s.Observe(at(40*ms), 1, 7, false, Head{Sequence: 150, Acknowledgement: 1900}),
+		s.Observe(at(500*ms), 1, 7, false, Head{Sequence: 150, Length: 50, Acknowledgement: 1900}),
+		s.Observe(at(700*ms), 1, 7, false, Head{Sequence: 150, Length: 50, Acknowledgement: 1900}),
+		s.Observe(at(800*ms), 1, 7, false, Head{Sequence: 200, Acknowledgement: 2900}),
+		s.Observe(at(801*ms), 1, 7, false, Head{Sequence: 200, Acknowledgement: 3900}),
+		s.Observe(at(900*ms), 1, 7, false, Head{Sequence: 200, Length: 50, Acknowledgement: 3900}),
+	}
+	want := []Change{Began, Answered, BeganNext, Nothing, Answered, Nothing, BeganNext}
+	if d := cmp.Diff(want, changes); d != "" {
+		t.Errorf("changes (-want +got):\n%s", d)
+	}
+	wantTotals := []Total{{Upstream: 7, Open: 1, UnderWay: 1, Ended: 1, Took: 300 * ms, Busy: 400 * ms}}
+	if d := cmp.Diff(wantTotals, totals(&s, at(time.Second))); d != "" {
+		t.Errorf("totals (-want +got):\n%s", d)
+	}
+}
+
+// A flow with a single request is not work in an open flow, also if its request has
+// several packets that arrive out of order.
+func TestFlowOfSingleRequestHasNoTotals(t *testing.T) {
+	var s Flows
+	s.Observe(at(0), 1, 7, true, Head{Sequence: 1300, Length: 1200, Acknowledgement: 900})
+	s.Observe(at(0), 1, 7, false, Head{Sequence: 100, Length: 1200, Acknowledgement: 900})
+	s.Observe(at(40*ms), 1, 7, false, Head{Sequence: 2500, Acknowledgement: 1900})
+	if s.Close(at(41*ms), 1) {
+		t.Error("the flow was reported as idle")
+	}
+	if d := cmp.Diff([]Total(nil), totals(&s, at(2*time.Second))); d != "" {
+		t.Errorf("totals (-want +got):\n%s", d)
+	}
+	if s.Len() != 0 {
+		t.Errorf("%d flows are left, want 0", s.Len())
+	}
+}
+
+func TestIdleFlowIsReportedOnce(t *testing.T) {
+	var s Flows
+	s.Observe(at(0), 1, 7, true, Head{Sequence: 100, Length: 50, Acknowledgement: 900})
+	s.Observe(at(40*ms), 1, 7, false, Head{Sequence: 150, Acknowledgement: 1900})
+	if next := s.NextIdle(50 * ms); !next.Equal(at(90 * ms)) {
+		t.Errorf("next report is due %s after the start, want 90ms", next.Sub(at(0)))
+	}
+	if d := cmp.Diff([]Idle(nil), s.Idle(at(80*ms), 50*ms)); d != "" {
+		t.Errorf("idle too early (-want +got):\n%s", d)
+	}
+	if d := cmp.Diff([]Idle{{1, 7, 60 * ms}}, s.Idle(at(100*ms), 50*ms)); d != "" {
+		t.Errorf("idle (-want +got):\n%s", d)
+	}
+	if d := cmp.Diff([]Idle(nil), s.Idle(at(200*ms), 50*ms)); d != "" {
+		t.Errorf("idle again (-want +got):\n%s", d)
+	}
+	if !s.Close(at(time.Second), 1) {
+		t.Error("the end of an idle flow would be reported again")
+	}
+}
+
+// The fabric moves a flow to another instance in the midst of a request. The instance that
+// had it must not count the request for good, the other one counts the next.
+func TestRequestWhoseFlowMovedIsForgotten(t *testing.T) {
+	var before, after Flows
+	before.Observe(at(0), 1, 7, true, Head{Sequence: 100, Length: 50, Acknowledgement: 900})
+	before.Observe(at(40*ms), 1, 7, false, Head{Sequence: 150, Acknowledgement: 1900})
+	before.Observe(at(time.Second), 1, 7, false, Head{Sequence: 150, Length: 50, Acknowledgement: 1900})
+	after.Observe(at(1040*ms), 1, 7, false, Head{Sequence: 200, Acknowledgement: 2900})
+	after.Observe(at(2*time.Second), 1, 7, false, Head{Sequence: 200, Length: 50, Acknowledgement: 2900})
+	before.Sweep(at(1500*ms), 15*time.Second)
+	got := []Total{totals(&before, at(2*time.Second))[0], totals(&after, at(2*time.Second))[0]}
+	want := []Total{{Upstream: 7, Open: 1, Busy: 500 * ms}, {Upstream: 7, Open: 1, UnderWay: 1}}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Errorf("totals before and after the move (-want +got):\n%s", d)
+	}
+	before.Sweep(at(20*time.Second), 15*time.Second)
+	if before.Len() != 0 {
+		t.Errorf("%d flows are followed after the idle timeout, want 0", before.Len())
+	}
+}
+
+func TestFollowedFlowsAreBounded(t *testing.T) {
+	var s Flows
+	for id := range uint64(maxFlows + 10) {
+		s.Observe(at(0), id, 7, true, Head{})
+	}
+	if s.Len() != maxFlows {
+		t.Errorf("%d flows are followed, want %d", s.Len(), maxFlows)
+	}
+}
