Reset open flows whose upstream is out of reach, and keep long flows near

An instance notices that a caller sends the same request again without an answer. After the second time it reports the flow to the upstream's coordinator. An upstream that has answered nothing for 0.5 s, opening or request, gets the next openings: one that is merely slow answers them. If they are not answered either, its entry is gone, or several flows are stuck for long, the coordinator tells all instances with open flows there, and they reset flows whose requests are sent again, at the first repetition from then on. Across a cut the instance's own list of data centres cut off is the news. Only flows of routes whose requests may run twice are reset. Flows that stay open prefer upstreams of the caller's data centre unless these take half as long again. What calls for it: the same as for the measurements (flows of a service that do stay open, limits.idle-timeout-ms).

Several stuck flows and 0.5 s without an answer as the verdict: an upstream with work of 0.7 s looks the same (TestOpenFlowsAtLivingUpstreamsAreNotReset found it).

--- a/internal/scheduler/flow.go
+++ b/internal/scheduler/flow.go
@@ -58,6 +58,9 @@
 // FlowIdle records that the first request of a flow was answered at the given time ago
 // and that the flow stays open. The upstream no longer works for it.
 func (p *Scheduler) FlowIdle(now time.Time, number, flow uint64, age time.Duration) {
+	if u, ok := p.upstreams[number]; ok {
+		u.reach.noteWork(now.Add(-age))
+	}
 	if f, tracked := p.endFlow(now, number, flow, age); tracked {
 		p.pools[p.upstreams[number].info.Service].recordIdle(f.class)
 	}
--- a/internal/scheduler/measured.go
+++ b/internal/scheduler/measured.go
@@ -20,13 +20,14 @@
 	if more.Ended == 0 {
 		return
 	}
-	pl.measured = true
+	u.reach.lastWork = now
 	took := time.Duration(float64(more.Took) / float64(more.Ended) / u.crowd(now, pl))
 	pl.openDuration.Add(took)
 	u.speed.Add(now, pl.openDuration.Ratio(took), int(more.Ended))
 }
 
-// Measured reports whether instances have reported work in open flows of the service.
+// Measured reports whether flows of the service stay open between requests, so that its
+// upstreams are compared by their measured work and speed.
 func (p *Scheduler) Measured(service string) bool {
 	pl := p.pools[service]
 	return pl != nil && pl.measured
@@ -58,7 +59,7 @@
 
 // recordDuration learns the speed of an upstream from the first request of a flow.
 func (pl *pool) recordDuration(now time.Time, u *upstream, f placed, took time.Duration) {
-	if !pl.measured || f.crowd == 0 {
+	if f.crowd == 0 {
 		return
 	}
 	if pl.durations == nil {
@@ -82,6 +83,7 @@
 		open += u.work.Open()
 	}
 	pl.workPerFlow = underWay / float64(max(open, 1))
+	pl.measured = pl.measured || open >= openPerUpstream*len(pl.members)
 }
 
 // load returns the number of requests that the upstream has, of flows of all kinds.
@@ -91,16 +93,15 @@
 
 // crowd returns the number of requests for each slot if one more is placed, at least 1.
 func (u *upstream) crowd(now time.Time, pl *pool) float64 {
-	if !pl.measured {
-		return 0
-	}
 	return max(1, (u.load(now, pl)+1)/float64(max(u.info.Slots, 1)))
 }
 
 // measuredTime returns the expected time until one more flow gets its response, by the
 // measured work and speed of the upstream. A flow that stays open will bring further
-// requests: it counts the work that all open flows of the upstream are expected to bring.
-func (u *upstream) measuredTime(now time.Time, pl *pool, c Class) time.Duration {
+// requests: it counts the work that all open flows of the upstream are expected to bring,
+// and it is better off in the data centre of its caller, as it cannot be moved if that is
+// cut off.
+func (u *upstream) measuredTime(now time.Time, pl *pool, r Request) time.Duration {
 	slots := float64(max(u.info.Slots, 1))
 	slowness := u.speed.Slowness(now)
 	usual := float64(pl.medianServiceTime) * slowness
@@ -108,7 +109,10 @@
 		usual *= slowFactor
 	}
 	load, brought := u.load(now, pl), 0.0
-	if pl.staysOpen(c) {
+	if pl.staysOpen(r.class()) {
+		if u.info.DataCentre != r.DataCentre {
+			usual *= remoteFactor
+		}
 		brought = float64(u.work.Open()) * pl.workPerFlow * slowness
 		load = max(load, float64(len(u.placed))+brought)
 	}
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -22,7 +22,7 @@
 	// medianServiceTime is the median over the upstreams, computed at medianAt.
 	medianServiceTime time.Duration
 	medianAt          time.Time
-	// measured is true once instances have reported work in open flows of the service.
+	// measured is true once flows of the service are known to stay open between requests.
 	// Upstreams are then compared by their measured work and speed.
 	measured bool
 	// durations holds the usual duration of the first requests of flows by class,
@@ -100,7 +100,11 @@
 }
 
 // recordIdle counts a flow that ended in time as one that stays open.
-func (pl *pool) recordIdle(c Class) { pl.outcomes[c].idle++ }
+func (pl *pool) recordIdle(c Class) {
+	o := pl.outcomes[c]
+	o.idle++
+	pl.measured = pl.measured || o.idle >= minIdleFlows && pl.staysOpen(c)
+}
 
 // staysOpen reports whether most flows of a class stay open after their first request.
 func (pl *pool) staysOpen(c Class) bool {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -89,6 +89,16 @@
 	// bulkPerSlot is the number of bulk flows that share a slot: transferring the
 	// response takes several times as long as the work.
 	bulkPerSlot = 8
+	// minIdleFlows is the number of flows of a class that have to stay open for that to be
+	// more than chance.
+	minIdleFlows = 5
+	// openPerUpstream is the number of open flows for each upstream of a service that
+	// shows that its flows stay open. A few are open because the packets that ended them
+	// were lost.
+	openPerUpstream = 2
+	// remoteFactor is by how much longer an answer of another data centre may take to be
+	// worth as much to a flow that stays open.
+	remoteFactor = 1.5
 	// maxSpeedup limits by how much the bound of an upstream rises because it is fast.
 	maxSpeedup = 2
 	// probeGain is the factor by which the placement rate may exceed the rate at
@@ -195,7 +205,7 @@
 	}
 	if !info.Started.Equal(u.info.Started) {
 		u.placed, u.serviceTime, u.suspicion, u.doubt, u.lastAnswer = u.placed[:0], 0, suspicion{}, doubt{}, time.Time{}
-		u.work, u.speed = work.Ledger[netip.AddrPort]{}, speed.Estimate{}
+		u.work, u.speed, u.reach = work.Ledger[netip.AddrPort]{}, speed.Estimate{}, reach{}
 	}
 	u.info, u.state = info, state
 	u.coldUntil = now.Add(info.ColdFor)
@@ -284,18 +294,29 @@
 		}
 		p.collectCandidates(now, pl, r, state)
 		u := p.best(now, pl, r)
-		switch {
+		switch trial := p.trial(now, r); {
+		case trial != nil:
+			return trial.place(now, pl, r), Placed
 		case u == nil:
 		case r.Bounded && u.atBound(now, pl, r):
 			verdict = Full
 		default:
-			u.addFlow(now, pl, placed{flow: r.Flow, at: now, class: r.class(), crowd: u.crowd(now, pl)})
-			return u.info.Number, Placed
+			return u.place(now, pl, r), Placed
 		}
 	}
 	return 0, verdict
 }
 
+// place counts a new flow at the upstream and returns the number of the upstream.
+func (u *upstream) place(now time.Time, pl *pool, r Request) uint64 {
+	f := placed{flow: r.Flow, at: now, class: r.class()}
+	if pl.measured {
+		f.crowd = u.crowd(now, pl)
+	}
+	u.addFlow(now, pl, f)
+	return u.info.Number
+}
+
 // Slots returns the total slots of a service's upstreams that are not closed, and
 // the number of data centres that they are in.
 func (p *Scheduler) Slots(service string) (slots, dataCentres int) {
@@ -349,7 +370,7 @@
 	var least time.Duration
 	ties := 0
 	for _, u := range p.candidates {
-		c := u.expectedTime(now, pl, r.class())
+		c := u.expectedTime(now, pl, r)
 		near := u.info.DataCentre == r.DataCentre
 		switch {
 		case best == nil || c < least || c == least && near && best.info.DataCentre != r.DataCentre:
--- a/internal/scheduler/suspicion.go
+++ b/internal/scheduler/suspicion.go
@@ -26,7 +26,7 @@
 // RecordAnswer records that the upstream answered an opening. It clears all suspicion.
 func (p *Scheduler) RecordAnswer(now time.Time, number uint64) {
 	if u, ok := p.upstreams[number]; ok {
-		u.suspicion = suspicion{}
+		u.suspicion, u.reach.trials = suspicion{}, 0
 		u.noteAnswer(now, p.pools[u.info.Service])
 	}
 }
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -35,6 +35,7 @@
 	// work is the work for open flows, speed how slow the upstream is.
 	work  work.Ledger[netip.AddrPort]
 	speed speed.Estimate
+	reach reach
 }
 
 // placed is a flow and the time at which it was placed or, in earlyEnds, at which
@@ -52,10 +53,10 @@
 }
 
 // expectedTime returns the expected time until one more flow gets its response.
-func (u *upstream) expectedTime(now time.Time, pl *pool, c Class) time.Duration {
+func (u *upstream) expectedTime(now time.Time, pl *pool, r Request) time.Duration {
 	u.expire(now, pl)
 	if pl.measured {
-		return u.measuredTime(now, pl, c)
+		return u.measuredTime(now, pl, r)
 	}
 	work := pl.medianServiceTime
 	if w := u.serviceTimeAt(now); w > slowFactor*work {
--- a/internal/tokenrouter/caller_test.go
+++ b/internal/tokenrouter/caller_test.go
@@ -23,7 +23,9 @@
 	queue           []func()
 	flows           map[string]bool
 	// opened holds the flows that were ever open here.
-	opened    map[string]bool
+	opened map[string]bool
+	// asked holds the numbers of bytes of requests of each session.
+	asked     map[string]uint32
 	openTimes []time.Time
 	misrouted int
 	misplaced int
@@ -78,7 +80,15 @@
 			u.misrouted++
 			return
 		}
-		if first := !u.opened[key]; first || len(raw) > packetBytes {
+		first := !u.opened[key]
+		if c.session != nil && len(raw) > packetBytes {
+			// The same bytes again are not another request.
+			first = c.session.asked > u.asked[key]
+			u.asked[key] = c.session.asked
+		} else if c.session != nil {
+			first = false
+		}
+		if first {
 			u.flows[key], u.opened[key] = true, true
 			u.serve(c, t)
 		}
@@ -207,7 +217,7 @@
 	}
 	c.openedUpstream = u.info.Number
 	if c.session != nil {
-		c.sendRequest()
+		c.session.handleOpened()
 		return
 	}
 	c.send(&Packet{Role: flow.RoleData})
@@ -216,7 +226,7 @@
 // handleResponse handles the response to the request.
 func (c *caller) handleResponse(t token.Token) {
 	if c.session != nil {
-		c.handleAnswer(false)
+		c.session.handleAnswer(false)
 		return
 	}
 	if c.answeredAt.IsZero() {
@@ -231,7 +241,7 @@
 func (c *caller) handleShed(t token.Token) {
 	c.token = t
 	if c.session != nil {
-		c.handleAnswer(true)
+		c.session.handleAnswer(true)
 		return
 	}
 	c.send(&Packet{Role: flow.RoleClose})
--- a/internal/tokenrouter/choose.go
+++ b/internal/tokenrouter/choose.go
@@ -36,7 +36,7 @@
 // upstreams have no room, an instance that places flows by itself would only pass by those
 // that wait.
 func (rt *Router) askTimeout(now time.Time, c *peer, service string) time.Duration {
-	if rt.work.idleTimeout > 0 && rt.work.kept[service] && now.Sub(c.roomShortAt) < roomShortPeriod {
+	if rt.scheduler.Measured(service) && now.Sub(c.roomShortAt) < roomShortPeriod {
 		return askTimeoutWithoutRoom
 	}
 	return askTimeout
--- a/internal/tokenrouter/coordination.go
+++ b/internal/tokenrouter/coordination.go
@@ -345,6 +345,9 @@
 	for _, t := range r.Idle {
 		rt.scheduler.FlowIdle(now, r.Upstream, t.Flow, t.Age)
 	}
+	for _, flow := range r.Stuck {
+		rt.recordStuck(now, r.Upstream, flow, p)
+	}
 	if r.Answered > 0 {
 		rt.recordAnswer(now, r.Upstream)
 	}
--- a/internal/tokenrouter/count.go
+++ b/internal/tokenrouter/count.go
@@ -12,6 +12,8 @@
 	Refused uint64 `json:"refused"`
 	// RefusedWithoutRoom counts those of them that no upstream could have answered in time.
 	RefusedWithoutRoom uint64 `json:"refused-without-room"`
+	// Reset counts open flows that were reset because their upstream was out of reach.
+	Reset uint64 `json:"reset"`
 	// Abandoned counts openings that no caller acknowledged.
 	Abandoned uint64 `json:"abandoned"`
 	// Forwarded counts packets of established flows.
--- a/internal/tokenrouter/doubt.go
+++ b/internal/tokenrouter/doubt.go
@@ -31,6 +31,7 @@
 		return
 	}
 	rt.log("upstream-suspect", "upstream", u.key, "reporter", reporter.String())
+	rt.checkReach(now, number)
 	d, ok := rt.scheduler.DoubtOf(now, number)
 	if !ok {
 		return
--- a/internal/tokenrouter/event.go
+++ b/internal/tokenrouter/event.go
@@ -121,6 +121,8 @@
 	Doubts []scheduler.Doubt
 	// Work is the work of upstreams for open flows whose packets pass the sender.
 	Work []work.Total
+	// OutOfReach lists upstreams that answer no open flow.
+	OutOfReach []uint64
 }
 
 // Answer is the kind of an answer that a message requests.
@@ -209,6 +211,9 @@
 	Silent   int
 	// Idle holds flows that stay open after the answer to their first request.
 	Idle []Taken
+	// Stuck holds the hashes of open flows whose callers send their request again and again
+	// without an answer.
+	Stuck []uint64
 }
 
 // Taken is a flow that has occupied its upstream for the duration Age or, in
@@ -228,7 +233,8 @@
 	// Forward sends Raw to the address Upstream of the upstream with the given
 	// Number, with Token attached.
 	Forward EffectKind = iota + 1
-	// Refuse resets the flow from Source to Destination.
+	// Refuse resets the flow from Source to Destination. Sequence is the number of the next
+	// byte that the caller expects, any if the flow is not open.
 	Refuse
 	// ReadStore reads the changes after Since from the platform's store, or its
 	// full content if Since is the zero Position. The store may wait up to Wait for the first
@@ -279,6 +285,7 @@
 	Raw            []byte
 	Source         netip.AddrPort
 	Destination    netip.AddrPort
+	Sequence       uint32
 	Since          catalog.Position
 	Wait           time.Duration
 	Timeout        time.Duration
--- a/internal/tokenrouter/report.go
+++ b/internal/tokenrouter/report.go
@@ -51,6 +51,7 @@
 		if q := &s.pendingReports[i].report; s.pendingReports[i].to == c && q.Upstream == r.Upstream {
 			q.Finished, q.Moved, q.Taken = append(q.Finished, r.Finished...), append(q.Moved, r.Moved...), append(q.Taken, r.Taken...)
 			q.Unanswered, q.Idle = append(q.Unanswered, r.Unanswered...), append(q.Idle, r.Idle...)
+			q.Stuck = append(q.Stuck, r.Stuck...)
 			q.Answered, q.Silent = q.Answered+r.Answered, q.Silent+r.Silent
 			return
 		}
--- a/internal/tokenrouter/router.go
+++ b/internal/tokenrouter/router.go
@@ -63,6 +63,7 @@
 	openings          openings
 	pins              pins
 	work              openWork
+	stuck             stuckFlows
 	// earlyDoubts are doubts of other instances about upstreams that are not known yet.
 	earlyDoubts         map[uint64]scheduler.Doubt
 	coordination        coordination
@@ -94,7 +95,7 @@
 	rt.coordination.requesters, rt.coordination.assignment = make(map[uint64]*peer), make(map[uint64]assignment)
 	rt.coordination.lastCoordinators = make(map[group]*peer)
 	rt.coordination.refusals = make(map[group]*admission.Refusals)
-	rt.work.kept = make(map[string]bool)
+	rt.stuck = newStuckFlows()
 	rt.pins, rt.earlyDoubts = newPins(), make(map[uint64]scheduler.Doubt)
 	rt.openings.flows = make(map[flowID]*opening)
 	rt.openings.pendingAsks = make(map[uint64]*opening)
--- a/internal/tokenrouter/session_test.go
+++ b/internal/tokenrouter/session_test.go
@@ -1,6 +1,7 @@
 package tokenrouter
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/chervilhaven/chervilhaven/internal/catalog"
@@ -37,11 +38,16 @@
 
 // session is what a caller does that sends several requests on its flow.
 type session struct {
+	w           *world
+	caller      *caller
+	destination netip.AddrPort
 	// asked and answered are the numbers of bytes of requests and responses.
 	asked    uint32
 	answered uint32
 	busy     bool
 	requests []request
+	// resets are the times at which the flow was reset while it was open.
+	resets []time.Time
 }
 
 // request is one request of a session, unanswered while took is zero.
@@ -53,14 +59,13 @@
 
 // startSession opens a flow that sends its next request about each pause, unless the one
 // before is not answered.
-func (w *world) startSession(pause time.Duration) *session {
-	s := &session{}
-	c := w.call(patientRoute, nil)
-	c.session = s
+func (w *world) startSession(destination netip.AddrPort, pause time.Duration) *session {
+	s := &session{w: w, destination: destination}
+	s.open()
 	var next func()
 	next = func() {
-		if c.openedUpstream != 0 && !s.busy {
-			c.sendRequest()
+		if s.caller.openedUpstream != 0 && !s.busy {
+			s.sendRequest()
 		}
 		w.after(pause/2+time.Duration(w.random.Int64N(int64(pause))), next)
 	}
@@ -68,23 +73,59 @@
 	return s
 }
 
-// sendRequest sends the next request of a session.
-func (c *caller) sendRequest() {
-	s := c.session
-	s.busy, s.requests = true, append(s.requests, request{at: c.w.now})
-	head := work.Head{Sequence: s.asked, Length: requestBytes, Acknowledgement: s.answered}
+func (s *session) open() {
+	s.caller = s.w.call(s.destination, nil)
+	s.caller.session = s
+	s.asked, s.answered = 0, 0
+}
+
+// handleOpened sends the first request of the flow: the one that was reset with the flow
+// before, if there is one.
+func (s *session) handleOpened() {
+	if s.busy {
+		s.transmit()
+		return
+	}
+	s.sendRequest()
+}
+
+// sendRequest sends the next request.
+func (s *session) sendRequest() {
+	s.busy, s.requests = true, append(s.requests, request{at: s.w.now})
+	s.transmit()
+}
+
+// transmit sends the request, and the same again while it is not answered.
+func (s *session) transmit() {
+	c, n, head := s.caller, len(s.requests), work.Head{Sequence: s.asked, Length: requestBytes, Acknowledgement: s.answered}
 	s.asked += requestBytes
-	c.send(&Packet{Role: flow.RoleData, Head: head})
+	var send func(pause time.Duration)
+	send = func(pause time.Duration) {
+		if s.caller != c || len(s.requests) != n || !s.busy {
+			return
+		}
+		c.send(&Packet{Role: flow.RoleData, Head: head, Retransmission: uint32(pause / firstRetransmit)})
+		s.w.after(pause, func() { send(2 * pause) })
+	}
+	send(firstRetransmit)
 }
 
-// handleAnswer handles the response to the request of a session, and acknowledges it.
-func (c *caller) handleAnswer(shed bool) {
-	s := c.session
+// handleAnswer handles the response to the request, and acknowledges it.
+func (s *session) handleAnswer(shed bool) {
+	if !s.busy {
+		return
+	}
 	s.busy = false
 	last := &s.requests[len(s.requests)-1]
-	last.took, last.shed = c.w.now.Sub(last.at), shed
+	last.took, last.shed = s.w.now.Sub(last.at), shed
 	s.answered += responseBytes
-	c.send(&Packet{Role: flow.RoleData, Head: work.Head{Sequence: s.asked, Acknowledgement: s.answered}})
+	s.caller.send(&Packet{Role: flow.RoleData, Head: work.Head{Sequence: s.asked, Acknowledgement: s.answered}})
+}
+
+// handleReset opens a new flow.
+func (s *session) handleReset() {
+	s.resets = append(s.resets, s.w.now)
+	s.w.after(callerDelay, s.open)
 }
 
 // shareOfRequestsInTime returns the share of the sessions' requests of an interval that
--- a/internal/tokenrouter/work.go
+++ b/internal/tokenrouter/work.go
@@ -27,14 +27,20 @@
 	// packets. If it is 0, flows do not stay open between requests and are not followed.
 	idleTimeout time.Duration
 	next        time.Time
-	// kept holds the services some of whose flows stayed open between requests.
-	kept map[string]bool
 }
 
-// observeWork learns from a packet of an open flow which requests are under way.
+// observeWork learns from a packet of an open flow which requests are under way, and which
+// are not answered.
 func (rt *Router) observeWork(now time.Time, flow, upstream uint64, opening bool, p *Packet) {
-	if rt.work.idleTimeout > 0 {
-		rt.work.flows.Observe(now, flow, upstream, opening, p.Head)
+	if rt.work.idleTimeout == 0 {
+		return
+	}
+	switch rt.work.flows.Observe(now, flow, upstream, opening, p.Head) {
+	case work.Answered:
+		rt.noteProgress(now, flow, upstream)
+	case work.Repeated:
+		rt.noteRepeat(now, flow, upstream, p)
+	case work.Nothing, work.Began, work.BeganNext:
 	}
 }
 
@@ -56,6 +62,7 @@
 	rt.scheduleTick(s.next)
 	s.flows.Sweep(now, s.idleTimeout)
 	rt.scheduler.SweepWork(now)
+	rt.expireStuck(now)
 	rt.reportWork(now)
 }
 
@@ -65,7 +72,7 @@
 	if !ok {
 		return
 	}
-	rt.coordination.slotFreed, rt.work.kept[u.info.Service] = true, true
+	rt.coordination.slotFreed = true
 	rt.scheduler.FlowIdle(now, f.Upstream, f.Flow, f.Age)
 	rt.report(now, u.info.Service, Report{Upstream: f.Upstream, Idle: []Taken{{Flow: f.Flow, Age: f.Age}}})
 }
@@ -110,6 +117,9 @@
 	if m.Hello {
 		rt.scheduler.ForgetWork(p.address)
 	}
+	for _, number := range m.OutOfReach {
+		rt.handleOutOfReach(now, number)
+	}
 	for _, t := range m.Work {
 		rt.scheduler.RecordWork(now, p.address, t)
 	}
--- a/internal/tokenrouter/work_test.go
+++ b/internal/tokenrouter/work_test.go
@@ -19,7 +19,7 @@
 // sessions starts callers that keep their flows open, evenly over d.
 func (w *world) sessions(count int, pause, d time.Duration) (list []*session) {
 	for n := range count {
-		w.after(d*time.Duration(n)/time.Duration(count), func() { list = append(list, w.startSession(pause)) })
+		w.after(d*time.Duration(n)/time.Duration(count), func() { list = append(list, w.startSession(patientRoute, pause)) })
 	}
 	w.advance(d)
 	return list
--- a/internal/tokenrouter/world_test.go
+++ b/internal/tokenrouter/world_test.go
@@ -229,6 +229,9 @@
 		for _, c := range w.callers {
 			if c.source == f.Source && c.destination == f.Destination {
 				c.refused = true
+				if c.session != nil && c.openedUpstream != 0 {
+					c.session.handleReset()
+				}
 			}
 		}
 	case ReadStore:
@@ -308,7 +311,7 @@
 	for range count {
 		n := w.random.Uint64()
 		u := &server{
-			w: w, alive: true, meanServiceTime: work, key: fmt.Sprintf("i-%x", n), flows: make(map[string]bool), opened: make(map[string]bool),
+			w: w, alive: true, meanServiceTime: work, key: fmt.Sprintf("i-%x", n), flows: make(map[string]bool), opened: make(map[string]bool), asked: make(map[string]uint32),
 			info: catalog.Upstream{
 				Number: n, Service: "desk", DataCentre: dc, Slots: 2,
 				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 200, byte(len(w.upstreams)), 1}), 8000),
--- a/internal/tokenserver/convert.go
+++ b/internal/tokenserver/convert.go
@@ -79,7 +79,7 @@
 
 func messageToProto(m *tokenrouter.Message) *edgev1.Message {
 	p := &edgev1.Message{
-		DataCentre: m.DataCentre, Leaving: m.Leaving, Version: m.Version, Era: uint64(m.Through.Era), Through: uint64(m.Through.Revision), Reads: m.Reads, Hello: m.Hello, Answer: uint32(m.Answer), CutOff: m.CutOff,
+		DataCentre: m.DataCentre, Leaving: m.Leaving, Version: m.Version, Era: uint64(m.Through.Era), Through: uint64(m.Through.Revision), Reads: m.Reads, Hello: m.Hello, Answer: uint32(m.Answer), CutOff: m.CutOff, OutOfReach: m.OutOfReach,
 	}
 	for i := range m.Peers {
 		p.Peers = append(p.Peers, peerGroupToProto(&m.Peers[i]))
@@ -113,7 +113,7 @@
 	}
 	for _, r := range m.Reports {
 		p.Reports = append(p.Reports, &edgev1.Report{
-			Upstream: r.Upstream, Finished: r.Finished, Moved: r.Moved, Taken: takenToProto(r.Taken), Answered: uint32(r.Answered), Unanswered: r.Unanswered, Silent: uint32(r.Silent), Idle: idleToProto(r.Idle),
+			Upstream: r.Upstream, Finished: r.Finished, Moved: r.Moved, Taken: takenToProto(r.Taken), Answered: uint32(r.Answered), Unanswered: r.Unanswered, Silent: uint32(r.Silent), Idle: idleToProto(r.Idle), Stuck: r.Stuck,
 		})
 	}
 	for i := range m.Work {
@@ -125,7 +125,7 @@
 func messageFromProto(p *edgev1.Message) *tokenrouter.Message {
 	m := &tokenrouter.Message{
 		DataCentre: p.GetDataCentre(), Leaving: p.GetLeaving(), Version: p.GetVersion(), Through: catalog.Position{Era: catalog.Era(p.GetEra()), Revision: catalog.Revision(p.GetThrough())},
-		Reads: p.GetReads(), Hello: p.GetHello(), Answer: answerFromProto(p.GetAnswer()), CutOff: p.GetCutOff(),
+		Reads: p.GetReads(), Hello: p.GetHello(), Answer: answerFromProto(p.GetAnswer()), CutOff: p.GetCutOff(), OutOfReach: p.GetOutOfReach(),
 	}
 	for _, g := range p.GetPeers() {
 		m.Peers = append(m.Peers, peerGroupFromProto(g))
@@ -160,7 +160,7 @@
 	}
 	for _, r := range p.GetReports() {
 		m.Reports = append(m.Reports, tokenrouter.Report{
-			Upstream: r.GetUpstream(), Finished: r.GetFinished(), Moved: r.GetMoved(), Taken: takenFromProto(r.GetTaken()), Answered: int(r.GetAnswered()), Unanswered: r.GetUnanswered(), Silent: int(r.GetSilent()), Idle: idleFromProto(r.GetIdle()),
+			Upstream: r.GetUpstream(), Finished: r.GetFinished(), Moved: r.GetMoved(), Taken: takenFromProto(r.GetTaken()), Answered: int(r.GetAnswered()), Unanswered: r.GetUnanswered(), Silent: int(r.GetSilent()), Idle: idleFromProto(r.GetIdle()), Stuck: r.GetStuck(),
 		})
 	}
 	for _, t := range p.GetWork() {
--- a/internal/tokenserver/server.go
+++ b/internal/tokenserver/server.go
@@ -40,8 +40,9 @@
 	// with the given number and token.
 	AppendForward(b, raw []byte, number uint64, t token.Token) []byte
 	// AppendReset appends a packet that resets the flow from source to destination,
-	// and returns the address to send it to.
-	AppendReset(b []byte, source, destination netip.AddrPort) ([]byte, netip.AddrPort)
+	// and returns the address to send it to. The sequence number is that of the next byte
+	// that the source expects, any if the flow is not open.
+	AppendReset(b []byte, source, destination netip.AddrPort, sequence uint32) ([]byte, netip.AddrPort)
 }
 
 // Store is a client of the platform's key-value store. An instance calls it from
@@ -228,7 +229,7 @@
 			s.sendPacket(e.Upstream)
 		case tokenrouter.Refuse:
 			var to netip.AddrPort
-			s.sendBuffer, to = s.config.PacketCodec.AppendReset(s.sendBuffer[:0], e.Source, e.Destination)
+			s.sendBuffer, to = s.config.PacketCodec.AppendReset(s.sendBuffer[:0], e.Source, e.Destination, e.Sequence)
 			s.sendPacket(to)
 		case tokenrouter.ReadStore:
 			since, wait, timeout := e.Since, e.Wait, e.Timeout
--- a/internal/tokenserver/server_test.go
+++ b/internal/tokenserver/server_test.go
@@ -52,7 +52,7 @@
 func TestMessageRoundTrip(t *testing.T) {
 	b := fullBatch()
 	m := &tokenrouter.Message{
-		DataCentre: "a", Leaving: true, Through: catalog.Position{Era: 3, Revision: 7}, Version: 9, Reads: true, Hello: true, Answer: tokenrouter.PeersMessage, CutOff: []string{"c"},
+		DataCentre: "a", Leaving: true, Through: catalog.Position{Era: 3, Revision: 7}, Version: 9, Reads: true, Hello: true, Answer: tokenrouter.PeersMessage, CutOff: []string{"c"}, OutOfReach: []uint64{23},
 		Peers: []tokenrouter.PeerGroup{{DataCentre: "b", Peers: []tokenrouter.PeerState{
 			{Address: netip.MustParseAddrPort("10.1.0.2:7000"), Age: 20 * time.Millisecond}, {Address: netip.MustParseAddrPort("10.1.0.3:7000"), Age: time.Second, Dead: true},
 		}}},
@@ -70,7 +70,7 @@
 		Reports: []tokenrouter.Report{{
 			Upstream: 1, Finished: []uint64{2}, Moved: []uint64{3, 8}, Answered: 5, Unanswered: []uint64{7}, Silent: 6,
 			Taken: []tokenrouter.Taken{{Flow: 4, Age: 20 * time.Millisecond, Class: scheduler.Class{Target: 7 * time.Millisecond, Bulk: true}}},
-			Idle:  []tokenrouter.Taken{{Flow: 5, Age: 50 * time.Millisecond}},
+			Idle:  []tokenrouter.Taken{{Flow: 5, Age: 50 * time.Millisecond}}, Stuck: []uint64{24},
 		}},
 		Work: []work.Total{{Upstream: 17, Open: 18, UnderWay: 19, Ended: 20, Took: 21 * time.Millisecond, Busy: 22 * time.Millisecond}},
 	}
@@ -111,7 +111,7 @@
 	return append(b, raw...)
 }
 
-func (byteCodec) AppendReset(b []byte, source, _ netip.AddrPort) ([]byte, netip.AddrPort) {
+func (byteCodec) AppendReset(b []byte, source, _ netip.AddrPort, _ uint32) ([]byte, netip.AddrPort) {
 	return append(b, "reset"...), source
 }
 
--- a/internal/work/flows.go
+++ b/internal/work/flows.go
@@ -20,6 +20,9 @@
 	maxAbandon = 4 * time.Second
 	// initialUsual is the assumed length of a request until one has been measured.
 	initialUsual = 50 * time.Millisecond
+	// minRepeat is the shortest time after which a caller sends the same again. Packets of
+	// a long request that arrive out of order follow each other sooner.
+	minRepeat = 150 * time.Millisecond
 	// usualGain is the weight of a new measurement, as in RFC 6298.
 	usualGain = 1.0 / 8
 )
@@ -46,6 +49,9 @@
 	BeganNext
 	// Answered means that the answer to a request has begun.
 	Answered
+	// Repeated means that the caller sent bytes again that it had sent before, while its
+	// request is not answered.
+	Repeated
 )
 
 // openFlow is an open flow.
@@ -56,8 +62,14 @@
 	end          uint32
 	acknowledged uint32
 	lastSeen     time.Time
-	// began is the time at which the request under way began, zero if there is none.
-	began time.Time
+	// began is the time at which the request under way began, zero if there is none. It
+	// is counted as work unless its answer has taken too long.
+	began   time.Time
+	counted bool
+	// sentAt is when the caller last sent data, repeats how often it sent the same again
+	// since the request began.
+	sentAt  time.Time
+	repeats int
 	// answeredAt is the time of the answer to the first request, zero before it and if
 	// that request passed through another instance.
 	answeredAt time.Time
@@ -134,16 +146,32 @@
 			s.answer(now, id, &f)
 		}
 	}
-	if end := h.Sequence + uint32(h.Length); h.Length > 0 && int32(end-f.end) > 0 {
-		f.end = end
-		if f.began.IsZero() {
-			f.began, change = now, s.begin(now, &f)
+	if h.Length > 0 {
+		if sent := s.observeData(now, &f, h); sent != Nothing {
+			change = sent
 		}
 	}
 	s.flows[id] = f
 	return change
 }
 
+// observeData learns from a packet with data.
+func (s *Flows) observeData(now time.Time, f *openFlow, h Head) Change {
+	end, last := h.Sequence+uint32(h.Length), f.sentAt
+	f.sentAt = now
+	switch {
+	case int32(end-f.end) > 0:
+		f.end = end
+		if f.began.IsZero() {
+			return s.begin(now, f)
+		}
+	case !f.began.IsZero() && now.Sub(last) >= minRepeat:
+		f.repeats++
+		return Repeated
+	}
+	return Nothing
+}
+
 func (s *Flows) add(id uint64, f openFlow) {
 	if s.flows == nil {
 		s.flows, s.meters = make(map[uint64]openFlow), make(map[uint64]*meter)
@@ -172,10 +200,12 @@
 
 // begin counts the beginning of a request.
 func (s *Flows) begin(now time.Time, f *openFlow) Change {
+	f.began, f.repeats = now, 0
 	if f.requests++; f.requests == 1 {
 		return Began
 	}
 	s.keep(now, f)
+	f.counted = true
 	s.meter(now, f.upstream).add(now, 1)
 	return BeganNext
 }
@@ -194,7 +224,7 @@
 		return
 	}
 	m := s.meter(now, f.upstream)
-	m.add(now, -1)
+	m.release(now, f)
 	m.total.Ended++
 	m.total.Took += took
 }
@@ -205,6 +235,21 @@
 	m.since, m.total.UnderWay, m.changed = now, m.total.UnderWay+change, true
 }
 
+// release no longer counts the request of a flow as under way.
+func (m *meter) release(now time.Time, f *openFlow) {
+	if f.counted {
+		f.counted = false
+		m.add(now, -1)
+	}
+}
+
+// Waiting returns the time at which the unanswered request of a flow began and how often
+// its caller sent the same again since, zero if there is none.
+func (s *Flows) Waiting(id uint64) (since time.Time, repeats int) {
+	f := s.flows[id]
+	return f.began, f.repeats
+}
+
 // Close forgets a flow that its caller has ended. It returns true if the coordinator
 // knows already that the flow was idle.
 func (s *Flows) Close(now time.Time, id uint64) bool {
@@ -217,9 +262,7 @@
 		return f.reported
 	}
 	m := s.meter(now, f.upstream)
-	if !f.began.IsZero() && f.requests > 1 {
-		m.add(now, -1)
-	}
+	m.release(now, &f)
 	m.total.Open--
 	m.changed = true
 	return f.reported
@@ -279,14 +322,10 @@
 			s.Close(now, id)
 			continue
 		}
-		if f.began.IsZero() || now.Sub(f.began) < abandon {
-			continue
-		}
-		if f.requests > 1 {
-			s.meter(now, f.upstream).add(now, -1)
+		if f.counted && now.Sub(f.began) >= abandon {
+			s.meter(now, f.upstream).release(now, &f)
+			s.flows[id] = f
 		}
-		f.began = time.Time{}
-		s.flows[id] = f
 	}
 	for number, m := range s.meters {
 		if m.total.Open == 0 && m.total.UnderWay == 0 && !m.changed && now.Sub(m.toldAt) > idleTimeout {
--- a/internal/work/flows_test.go
+++ b/internal/work/flows_test.go
@@ -32,7 +32,7 @@
 		s.Observe(at(801*ms), 1, 7, false, Head{Sequence: 200, Acknowledgement: 3900}),
 		s.Observe(at(900*ms), 1, 7, false, Head{Sequence: 200, Length: 50, Acknowledgement: 3900}),
 	}
-	want := []Change{Began, Answered, BeganNext, Nothing, Answered, Nothing, BeganNext}
+	want := []Change{Began, Answered, BeganNext, Repeated, Answered, Nothing, BeganNext}
 	if d := cmp.Diff(want, changes); d != "" {
 		t.Errorf("changes (-want +got):\n%s", d)
 	}
--- a/internal/work/ledger.go
+++ b/internal/work/ledger.go
@@ -91,6 +91,17 @@
 // Open returns the number of open flows.
 func (l *Ledger[S]) Open() int { return l.open }
 
+// Sources returns the processes that have reported open flows.
+func (l *Ledger[S]) Sources() []S {
+	var list []S
+	for source, r := range l.reports {
+		if r.total.Open > 0 {
+			list = append(list, source)
+		}
+	}
+	return list
+}
+
 // Sweep forgets old reports and finds the overdue ones.
 func (l *Ledger[S]) Sweep(now time.Time) {
 	l.overdue = 0
