Give upstreams whose answers come too soon trial flows only

Instances judge each answer by its duration, less the round trip, and its bytes against what is usual for its route, and report those that came too soon with the others. The coordinator ejects an upstream whose share of early answers exceeds that of the median of its group by a quarter (internal/outlier), half of a group at most. Ejected ones get one trial at a time, no urgent ones, 1 s after the last early answer, and return after good ones. While no answer comes too soon nothing is reported. What calls for it: limits.idle-timeout-ms.

Totals since the start: a first report says nothing, and each instance sees few answers of an upstream, so none was ejected. Durations with the round trip (8 of 27 ms): failures took a quarter of the usual time and more. Answers of one short packet are acknowledged 40 ms late; that signature counts for far shorter answers. A trial each 100 ms regardless of its outcome: half of the new flows of a quiet group were trials.

--- a/internal/scheduler/measured.go
+++ b/internal/scheduler/measured.go
@@ -8,19 +8,24 @@
 	"github.com/chervilhaven/chervilhaven/internal/work"
 )
 
-// RecordWork takes over what an instance says of the work at an upstream in flows that
-// stay open between requests. Unknown upstreams are ignored.
-func (p *Scheduler) RecordWork(now time.Time, source netip.AddrPort, t work.Total) {
+// RecordWork takes over what an instance says of the work at an upstream. It returns true
+// if the upstream has been ejected, or no longer is. Unknown upstreams are ignored.
+func (p *Scheduler) RecordWork(now time.Time, source netip.AddrPort, t work.Total) bool {
 	u, ok := p.upstreams[t.Upstream]
 	if !ok {
-		return
+		return false
 	}
-	pl := p.pools[u.info.Service]
 	more := u.work.Record(now, source, t)
-	if more.Ended == 0 {
-		return
+	if more.Ended > 0 {
+		p.recordSpeed(now, u, more)
 	}
-	u.reach.lastWork = now
+	return more.Answers > 0 && p.judgeAnswers(now, u, more)
+}
+
+// recordSpeed learns the speed of an upstream from requests of open flows.
+func (p *Scheduler) recordSpeed(now time.Time, u *upstream, more work.Increase) {
+	pl := p.pools[u.info.Service]
+	u.reach.noteWork(now)
 	took := time.Duration(float64(more.Took) / float64(more.Ended) / u.crowd(now, pl))
 	pl.openDuration.Add(took)
 	u.speed.Add(now, pl.openDuration.Ratio(took), int(more.Ended))
@@ -63,11 +68,11 @@
 		return
 	}
 	if pl.durations == nil {
-		pl.durations = make(map[Class]*speed.Reference)
+		pl.durations = make(map[Class]*speed.Reference[time.Duration])
 	}
 	usual := pl.durations[f.class]
 	if usual == nil {
-		usual = &speed.Reference{}
+		usual = &speed.Reference[time.Duration]{}
 		pl.durations[f.class] = usual
 	}
 	took = time.Duration(float64(took) / f.crowd)
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -27,8 +27,8 @@
 	measured bool
 	// durations holds the usual duration of the first requests of flows by class,
 	// openDuration that of later requests.
-	durations    map[Class]*speed.Reference
-	openDuration speed.Reference
+	durations    map[Class]*speed.Reference[time.Duration]
+	openDuration speed.Reference[time.Duration]
 	// workPerFlow is the average number of requests under way in an open flow.
 	workPerFlow float64
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/chervilhaven/chervilhaven/internal/catalog"
+	"github.com/chervilhaven/chervilhaven/internal/outlier"
 	"github.com/chervilhaven/chervilhaven/internal/speed"
 	"github.com/chervilhaven/chervilhaven/internal/work"
 )
@@ -205,7 +206,7 @@
 	}
 	if !info.Started.Equal(u.info.Started) {
 		u.placed, u.serviceTime, u.suspicion, u.doubt, u.lastAnswer = u.placed[:0], 0, suspicion{}, doubt{}, time.Time{}
-		u.work, u.speed, u.reach = work.Ledger[netip.AddrPort]{}, speed.Estimate{}, reach{}
+		u.work, u.speed, u.reach, u.outlier = work.Ledger[netip.AddrPort]{}, speed.Estimate{}, reach{}, outlier.Detector{}
 	}
 	u.info, u.state = info, state
 	u.coldUntil = now.Add(info.ColdFor)
@@ -356,7 +357,7 @@
 		switch {
 		case u.stateFor(r) != state, slices.Contains(r.Avoid, u.info.Number):
 		case groups > 1 && groupOf(u.info.Number, groups) != r.Group:
-		case !r.AllowSuspects && !u.suspicion.allowsOpening(now), !u.allowsCold(now, pl, r):
+		case !r.AllowSuspects && (!u.suspicion.allowsOpening(now) || !u.allowsOutlier(now, r)), !u.allowsCold(now, pl, r):
 		default:
 			p.candidates = append(p.candidates, u)
 		}
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/chervilhaven/chervilhaven/internal/catalog"
+	"github.com/chervilhaven/chervilhaven/internal/outlier"
 	"github.com/chervilhaven/chervilhaven/internal/speed"
 	"github.com/chervilhaven/chervilhaven/internal/work"
 )
@@ -36,6 +37,8 @@
 	work  work.Ledger[netip.AddrPort]
 	speed speed.Estimate
 	reach reach
+	// outlier weighs the answers that came too soon.
+	outlier outlier.Detector
 }
 
 // placed is a flow and the time at which it was placed or, in earlyEnds, at which
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -24,38 +24,46 @@
 	// halfLife is the time after which half of an estimate is forgotten while there are
 	// no requests, so that an upstream that was slow is tried again.
 	halfLife = 2 * time.Second
-	// referenceStep is the share by which a Reference moves for one request.
+	// referenceStep is the share by which a Reference moves for one request, after it has
+	// moved by more for the first ones.
 	referenceStep = 1.0 / 32
 )
 
-// Reference is the usual duration of the requests of a class, the median over all
-// upstreams. It follows a service that becomes faster or slower as a whole, and ignores a
-// minority of failures that end early. The zero value is empty and ready for use.
-type Reference struct{ usual time.Duration }
+// Reference is the usual value of what is measured of each request of a class, such as its
+// duration: the median over all upstreams. It follows a service that changes as a whole, and
+// ignores a minority of failures. The zero value is empty and ready for use.
+type Reference[T ~int64] struct {
+	usual float64
+	count int
+}
 
-// Add records the duration of a request.
-func (r *Reference) Add(took time.Duration) {
-	step := time.Duration(referenceStep * float64(r.usual))
+// Add records the value of a request.
+func (r *Reference[T]) Add(value T) {
+	r.count++
+	step := r.usual * max(referenceStep, 1/float64(r.count+2))
 	switch {
-	case r.usual == 0:
-		r.usual = took
-	case took > r.usual:
+	case r.usual <= 0:
+		r.usual = float64(value)
+	case float64(value) > r.usual:
 		r.usual += step
 	default:
 		r.usual -= step
 	}
 }
 
-// Ratio returns how long a request took compared with the usual duration.
-func (r *Reference) Ratio(took time.Duration) float64 {
+// Ratio returns the value of a request as a multiple of the usual one.
+func (r *Reference[T]) Ratio(value T) float64 {
 	if r.usual <= 0 {
 		return 1
 	}
-	return float64(took) / float64(r.usual)
+	return float64(value) / r.usual
 }
 
-// Usual returns the usual duration, 0 before the first request.
-func (r *Reference) Usual() time.Duration { return r.usual }
+// Usual returns the usual value, 0 before the first request.
+func (r *Reference[T]) Usual() T { return T(r.usual) }
+
+// Count returns the number of requests.
+func (r *Reference[T]) Count() int { return r.count }
 
 // Estimate is how slow one upstream is: 2 if requests take twice as long there as usual.
 // The zero value is that of an unknown upstream, which counts as usual.
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -12,7 +12,7 @@
 
 // play gives an estimate the durations of one request each 70 ms. slow multiplies the
 // durations, which vary by half of their mean.
-func play(e *Estimate, r *Reference, random *rand.Rand, start, end time.Duration, slow float64) {
+func play(e *Estimate, r *Reference[time.Duration], random *rand.Rand, start, end time.Duration, slow float64) {
 	for d := start; d < end; d += 70 * time.Millisecond {
 		took := time.Duration(slow * (0.5 + random.Float64()) * float64(50*time.Millisecond))
 		e.Add(at(d), r.Ratio(took), 1)
@@ -20,8 +20,8 @@
 }
 
 // settled returns a reference that has learned a usual duration of 50 ms.
-func settled() *Reference {
-	var r Reference
+func settled() *Reference[time.Duration] {
+	var r Reference[time.Duration]
 	for range 200 {
 		r.Add(50 * time.Millisecond)
 	}
--- a/internal/tokenrouter/caller_test.go
+++ b/internal/tokenrouter/caller_test.go
@@ -19,9 +19,11 @@
 	key             string
 	alive           bool
 	meanServiceTime time.Duration
-	busy            int
-	queue           []func()
-	flows           map[string]bool
+	// shedShare is the share of requests that are shed at once.
+	shedShare float64
+	busy      int
+	queue     []func()
+	flows     map[string]bool
 	// opened holds the flows that were ever open here.
 	opened map[string]bool
 	// asked holds the numbers of bytes of requests of each session.
@@ -115,7 +117,7 @@
 // serve processes a request as soon as a slot is free. If 8 requests are queued
 // already, the server sheds it with an immediate answer.
 func (u *server) serve(c *caller, t token.Token) {
-	if len(u.queue) >= 8 {
+	if len(u.queue) >= 8 || u.shedShare > 0 && u.w.random.Float64() < u.shedShare {
 		u.w.after(callerDelay, func() { c.handleShed(t) })
 		return
 	}
--- a/internal/tokenrouter/count.go
+++ b/internal/tokenrouter/count.go
@@ -14,6 +14,9 @@
 	RefusedWithoutRoom uint64 `json:"refused-without-room"`
 	// Reset counts open flows that were reset because their upstream was out of reach.
 	Reset uint64 `json:"reset"`
+	// Ejected counts upstreams that got trial flows only because their answers came too
+	// soon.
+	Ejected uint64 `json:"ejected"`
 	// Abandoned counts openings that no caller acknowledged.
 	Abandoned uint64 `json:"abandoned"`
 	// Forwarded counts packets of established flows.
--- a/internal/tokenrouter/session_test.go
+++ b/internal/tokenrouter/session_test.go
@@ -17,6 +17,7 @@
 const (
 	requestBytes  = 200
 	responseBytes = 1000
+	shedBytes     = 100
 )
 
 // urgentRoute and patientRoute lead to the service "desk". Callers of patientRoute keep
@@ -119,6 +120,9 @@
 	last := &s.requests[len(s.requests)-1]
 	last.took, last.shed = s.w.now.Sub(last.at), shed
 	s.answered += responseBytes
+	if shed {
+		s.answered -= responseBytes - shedBytes
+	}
 	s.caller.send(&Packet{Role: flow.RoleData, Head: work.Head{Sequence: s.asked, Acknowledgement: s.answered}})
 }
 
@@ -147,3 +151,15 @@
 	}
 	return float64(good) / float64(max(all, 1)), float64(bad) / float64(max(all, 1))
 }
+
+// linesOf returns the log lines of an event at all instances.
+func (w *world) linesOf(event string) (list []Line) {
+	for _, n := range w.nodes {
+		for _, l := range n.lines {
+			if l.Event == event {
+				list = append(list, l)
+			}
+		}
+	}
+	return list
+}
--- a/internal/tokenrouter/work.go
+++ b/internal/tokenrouter/work.go
@@ -1,6 +1,7 @@
 package tokenrouter
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -35,7 +36,8 @@
 	if rt.work.idleTimeout == 0 {
 		return
 	}
-	switch rt.work.flows.Observe(now, flow, upstream, opening, p.Head) {
+	rt.work.flows.RoundTrip = rt.openings.ackTime
+	switch rt.work.flows.Observe(now, flow, upstream, p.Destination, opening, p.Head) {
 	case work.Answered:
 		rt.noteProgress(now, flow, upstream)
 	case work.Repeated:
@@ -87,7 +89,7 @@
 		}
 		c := rt.coordinator(now, u.info.Service, rt.scheduler.GroupOf(u.info.Service, t.Upstream))
 		if c == nil {
-			rt.scheduler.RecordWork(now, rt.config.Self, t)
+			rt.recordWork(now, rt.config.Self, t)
 			return true
 		}
 		if !slices.Contains(told, c) {
@@ -121,6 +123,19 @@
 		rt.handleOutOfReach(now, number)
 	}
 	for _, t := range m.Work {
-		rt.scheduler.RecordWork(now, p.address, t)
+		rt.recordWork(now, p.address, t)
 	}
 }
+
+// recordWork takes over what an instance says of the work at an upstream.
+func (rt *Router) recordWork(now time.Time, source netip.AddrPort, t work.Total) {
+	if !rt.scheduler.RecordWork(now, source, t) {
+		return
+	}
+	event := "outlier-returned"
+	if rt.scheduler.IsEjected(now, t.Upstream) {
+		event = "outlier-ejected"
+		rt.counts.Ejected++
+	}
+	rt.log(event, "upstream", rt.keysOf([]uint64{t.Upstream}), "reporter", source.String())
+}
--- a/internal/tokenserver/convert.go
+++ b/internal/tokenserver/convert.go
@@ -206,7 +206,7 @@
 func workToProto(t *work.Total) *edgev1.Work {
 	return &edgev1.Work{
 		Upstream: t.Upstream, Open: uint32(t.Open), UnderWay: uint32(t.UnderWay), Ended: t.Ended,
-		TookMs: uint64(t.Took.Milliseconds()), BusyMs: uint64(t.Busy.Milliseconds()),
+		TookMs: uint64(t.Took.Milliseconds()), BusyMs: uint64(t.Busy.Milliseconds()), Answers: t.Answers, Early: t.Early,
 	}
 }
 
@@ -214,6 +214,7 @@
 	return work.Total{
 		Upstream: p.GetUpstream(), Open: count(p.GetOpen()), UnderWay: count(p.GetUnderWay()), Ended: min(p.GetEnded(), maxCount),
 		Took: time.Duration(min(p.GetTookMs(), maxCount)) * time.Millisecond, Busy: time.Duration(min(p.GetBusyMs(), maxCount)) * time.Millisecond,
+		Answers: min(p.GetAnswers(), maxCount), Early: min(p.GetEarly(), maxCount),
 	}
 }
 
--- a/internal/tokenserver/server_test.go
+++ b/internal/tokenserver/server_test.go
@@ -72,7 +72,7 @@
 			Taken: []tokenrouter.Taken{{Flow: 4, Age: 20 * time.Millisecond, Class: scheduler.Class{Target: 7 * time.Millisecond, Bulk: true}}},
 			Idle:  []tokenrouter.Taken{{Flow: 5, Age: 50 * time.Millisecond}}, Stuck: []uint64{24},
 		}},
-		Work: []work.Total{{Upstream: 17, Open: 18, UnderWay: 19, Ended: 20, Took: 21 * time.Millisecond, Busy: 22 * time.Millisecond}},
+		Work: []work.Total{{Upstream: 17, Open: 18, UnderWay: 19, Ended: 20, Took: 21 * time.Millisecond, Busy: 22 * time.Millisecond, Answers: 25, Early: 26}},
 	}
 	if d := cmp.Diff(m, messageFromProto(messageToProto(m)), compareAddresses); d != "" {
 		t.Errorf("message (-want +got):\n%s", d)
--- a/internal/work/flows.go
+++ b/internal/work/flows.go
@@ -5,7 +5,10 @@
 // one instance, Ledger adds up what the instances say of one upstream.
 package work
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 const (
 	// maxFlows limits the open flows that an instance follows. The requests of others
@@ -80,6 +83,10 @@
 	reported bool
 	// kept is true once the flow has stayed open after its first request.
 	kept bool
+	// route is the address that the flow leads to. answer is the answer whose bytes are
+	// still arriving, if there is one.
+	route  netip.AddrPort
+	answer pendingAnswer
 }
 
 // meter adds up the requests that followed the first one of their flow at one upstream.
@@ -88,6 +95,8 @@
 	since   time.Time
 	changed bool
 	toldAt  time.Time
+	// earlyAt is the time of the last answer that came too soon.
+	earlyAt time.Time
 }
 
 // Total sums up the requests at one upstream that followed the first one of their flow.
@@ -105,15 +114,26 @@
 	Took  time.Duration
 	// Busy is the time for which requests were under way, added up.
 	Busy time.Duration
+	// Answers is the number of answers to requests since the last report, first ones
+	// included, Early that of those that came too soon: upstreams that fail requests at once
+	// look fast. Answers are counted while there are some that come too soon.
+	Answers uint64
+	Early   uint64
 }
 
 // Flows follows the open flows whose packets pass one instance. The zero value is empty
 // and ready for use. It is not safe for concurrent use.
 type Flows struct {
+	// RoundTrip is the time from a packet of a caller to the acknowledgement of what an
+	// upstream sends back at once.
+	RoundTrip time.Duration
+
 	flows  map[uint64]openFlow
 	meters map[uint64]*meter
 	// usual is the usual length of a request.
 	usual time.Duration
+	// usualAnswers holds what is usual for the answers of each route.
+	usualAnswers map[netip.AddrPort]*usualAnswer
 	// idle holds the flows whose first request was answered, oldest first.
 	idle []uint64
 }
@@ -121,7 +141,7 @@
 // Observe learns from the head of a packet that belongs to a flow at an upstream. The
 // first packet of a flow that this instance did not see open counts as one after the
 // first request.
-func (s *Flows) Observe(now time.Time, id, upstream uint64, opening bool, h Head) Change {
+func (s *Flows) Observe(now time.Time, id, upstream uint64, route netip.AddrPort, opening bool, h Head) Change {
 	f, known := s.flows[id]
 	if known && f.upstream != upstream {
 		s.Close(now, id)
@@ -131,7 +151,7 @@
 		if len(s.flows) >= maxFlows {
 			return Nothing
 		}
-		f = openFlow{upstream: upstream, end: h.Sequence, acknowledged: h.Acknowledgement}
+		f = openFlow{upstream: upstream, route: route, end: h.Sequence, acknowledged: h.Acknowledgement}
 		if !opening {
 			f.requests, f.reported = 1, true
 		}
@@ -200,7 +220,8 @@
 
 // begin counts the beginning of a request.
 func (s *Flows) begin(now time.Time, f *openFlow) Change {
-	f.began, f.repeats = now, 0
+	s.settle(now, f)
+	f.began, f.repeats, f.answer.from = now, 0, f.acknowledged
 	if f.requests++; f.requests == 1 {
 		return Began
 	}
@@ -218,6 +239,7 @@
 	}
 	s.usual += time.Duration(usualGain * float64(took-s.usual))
 	f.began = time.Time{}
+	f.answer.took, f.answer.pending = took, true
 	if f.requests == 1 {
 		f.answeredAt = now
 		s.idle = append(s.idle, id)
@@ -258,6 +280,7 @@
 		return false
 	}
 	delete(s.flows, id)
+	s.settle(now, &f)
 	if !f.kept {
 		return f.reported
 	}
@@ -292,6 +315,7 @@
 			break
 		}
 		f.reported = true
+		s.settle(now, &f)
 		s.keep(now, &f)
 		s.flows[id] = f
 		list = append(list, Idle{id, f.upstream, now.Sub(f.answeredAt)})
@@ -313,8 +337,8 @@
 	return time.Time{}
 }
 
-// Sweep stops counting requests whose answers do not come, and forgets flows without
-// packets for the given time and upstreams without flows.
+// Sweep stops counting requests whose answers do not come, judges answers that have ended,
+// and forgets flows without packets for the given time and upstreams without flows.
 func (s *Flows) Sweep(now time.Time, idleTimeout time.Duration) {
 	abandon := min(max(usualFactor*max(s.usual, initialUsual), minAbandon), maxAbandon)
 	for id, f := range s.flows {
@@ -324,8 +348,11 @@
 		}
 		if f.counted && now.Sub(f.began) >= abandon {
 			s.meter(now, f.upstream).release(now, &f)
-			s.flows[id] = f
 		}
+		if f.answer.pending && now.Sub(f.lastSeen) >= answerPause {
+			s.settle(now, &f)
+		}
+		s.flows[id] = f
 	}
 	for number, m := range s.meters {
 		if m.total.Open == 0 && m.total.UnderWay == 0 && !m.changed && now.Sub(m.toldAt) > idleTimeout {
@@ -346,6 +373,7 @@
 		m.add(now, 0)
 		if visit(m.total) {
 			m.changed, m.toldAt = false, now
+			m.total.Answers, m.total.Early = 0, 0
 		}
 	}
 }
--- a/internal/work/ledger.go
+++ b/internal/work/ledger.go
@@ -39,9 +39,11 @@
 
 // Increase is by how much a total exceeds the one before it of the same process.
 type Increase struct {
-	Ended uint64
-	Took  time.Duration
-	Busy  time.Duration
+	Ended   uint64
+	Took    time.Duration
+	Busy    time.Duration
+	Answers uint64
+	Early   uint64
 }
 
 // Record takes over the total of a process and returns its increase. The first total of a
@@ -57,12 +59,15 @@
 	if !known {
 		l.decay(now)
 		l.work += float64(t.UnderWay)
-		return Increase{}
+		return Increase{Answers: t.Answers, Early: t.Early}
 	}
-	if t.Ended < last.total.Ended || t.Busy < last.total.Busy || t.Took < last.total.Took {
+	if t.precedes(&last.total) {
 		return Increase{}
 	}
-	more := Increase{t.Ended - last.total.Ended, t.Took - last.total.Took, t.Busy - last.total.Busy}
+	more := Increase{
+		Ended: t.Ended - last.total.Ended, Took: t.Took - last.total.Took, Busy: t.Busy - last.total.Busy,
+		Answers: t.Answers, Early: t.Early,
+	}
 	l.decay(now)
 	// Work is spread over the time since the last total, of which averagingTime counts.
 	over := max(now.Sub(last.at), time.Millisecond)
@@ -71,6 +76,12 @@
 	return more
 }
 
+// precedes reports whether a total counts from a later start than the one before it, or is
+// older.
+func (t *Total) precedes(last *Total) bool {
+	return t.Ended < last.Ended || t.Busy < last.Busy || t.Took < last.Took
+}
+
 func (l *Ledger[S]) decay(now time.Time) {
 	if d := now.Sub(l.at); d >= decayStep {
 		l.work *= math.Exp(-float64(d) / float64(averagingTime))
