Learn from how many requests at once an upstream slows down, and soak the new parts

speed.Curve compares the durations of requests that were alone at an upstream with those that filled its slots, and both with the median upstream, since work of other instances is counted late. An upstream that slows down counts as having fewer slots, in the expected time, the bound and the waiting that is taken out of durations.

The soak gets a class whose flows stay open beside a more urgent one, upstreams that fall silent for good, and pressure; it checks that open flows at dead upstreams are reset and that urgent flows are answered no less often than others.

--- a/internal/scheduler/measured_test.go
+++ b/internal/scheduler/measured_test.go
@@ -70,6 +70,33 @@
 	}
 }
 
+// One of three upstreams takes twice as long for two requests at once as for one, the
+// others do not. It gets one flow at a time while the others have room.
+func TestUpstreamThatSlowsDownBeforeItIsFullGetsFewerFlows(t *testing.T) {
+	p := newMeasured(3)
+	usual := 50 * time.Millisecond
+	now := reportWork(p, []float64{0.1, 0.1, 0.1}, []time.Duration{usual, usual, usual})
+	pl := p.pools[desk]
+	for n := range uint64(300) {
+		at := now.Add(time.Duration(n) * 10 * time.Millisecond)
+		u := p.upstreams[1+n%3]
+		load := float64(1 + n/3%2)
+		took := usual
+		if u.info.Number == 1 && load == 2 {
+			took *= 2
+		}
+		pl.recordDuration(at, u, placed{load: load}, took)
+	}
+	now = now.Add(3 * time.Second)
+	if s := p.upstreams[1].slots(now, pl); s > 1.3 {
+		t.Errorf("upstream 1 takes %.2f requests at once well, want about 1", s)
+	}
+	got := placeEach(p, now, 5, Request{Target: 300 * time.Millisecond})
+	if got[1] > 1 {
+		t.Errorf("upstream 1 got %d of 5 flows, want at most 1 (%v)", got[1], got)
+	}
+}
+
 // Requests wait at all upstreams alike during a burst. None of them counts as slow.
 func TestBusyMomentIsNotTakenForSlowness(t *testing.T) {
 	p := newMeasured(2)
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -29,6 +29,9 @@
 	// openDuration that of later requests.
 	durations    map[Class]*speed.Reference[time.Duration]
 	openDuration speed.Reference[time.Duration]
+	// usualFactor is the median of how much longer requests take at upstreams whose slots
+	// are all busy.
+	usualFactor float64
 	// workPerFlow is the average number of requests under way in an open flow.
 	workPerFlow float64
 }
@@ -130,7 +133,7 @@
 		return
 	}
 	pl.medianAt = now
-	pl.updateWorkPerFlow(now)
+	pl.updateMeasures(now)
 	times := make([]time.Duration, 0, len(pl.members))
 	for _, u := range pl.members {
 		if u.serviceTime > 0 {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -206,7 +206,8 @@
 	}
 	if !info.Started.Equal(u.info.Started) {
 		u.placed, u.serviceTime, u.suspicion, u.doubt, u.lastAnswer = u.placed[:0], 0, suspicion{}, doubt{}, time.Time{}
-		u.work, u.speed, u.reach, u.outlier = work.Ledger[netip.AddrPort]{}, speed.Estimate{}, reach{}, outlier.Detector{}
+		u.work, u.reach, u.outlier = work.Ledger[netip.AddrPort]{}, reach{}, outlier.Detector{}
+		u.speed, u.curve = speed.Estimate{}, speed.Curve{}
 	}
 	u.info, u.state = info, state
 	u.coldUntil = now.Add(info.ColdFor)
@@ -312,7 +313,7 @@
 func (u *upstream) place(now time.Time, pl *pool, r Request) uint64 {
 	f := placed{flow: r.Flow, at: now, class: r.class()}
 	if pl.measured {
-		f.crowd = u.crowd(now, pl)
+		f.load = u.load(now, pl) + 1
 	}
 	u.addFlow(now, pl, f)
 	return u.info.Number
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -36,6 +36,7 @@
 	// work is the work for open flows, speed how slow the upstream is.
 	work  work.Ledger[netip.AddrPort]
 	speed speed.Estimate
+	curve speed.Curve
 	reach reach
 	// outlier weighs the answers that came too soon.
 	outlier outlier.Detector
@@ -47,9 +48,9 @@
 	flow  uint64
 	at    time.Time
 	class Class
-	// crowd is the number of requests for each slot when the flow was placed, at least
-	// 1, and 0 if it is not known.
-	crowd float64
+	// load is the number of requests at the upstream when the flow was placed, this one
+	// included, and 0 if it is not known.
+	load float64
 	// inherited marks a flow that another coordinator placed. Its length says nothing
 	// about the upstream: all such flows are handed over at once, and may be idle.
 	inherited bool
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -19,9 +19,8 @@
 	flowTimeout = 1400 * time.Millisecond
 	// callerDelay is the one-way delay between callers and instances.
 	callerDelay = 3 * time.Millisecond
-	// Every flow whose request number is a multiple of pausingFlows stays open after
-	// its response and sends a second request after a pause.
-	pausingFlows  = 4
+	// Flows on streamRoute stay open after their response and send a second request after
+	// a pause.
 	minPause      = time.Second
 	pauseRange    = 2 * time.Second
 	pausedTimeout = 4 * time.Second
@@ -54,8 +53,11 @@
 	// upstreamNumber is the low 32 bits of the number of the upstream that sent
 	// the SYN-ACK.
 	upstreamNumber uint32
-	establishedAt  time.Time
-	done           bool
+	// sent and received are the numbers of bytes of earlier requests and responses.
+	sent          uint32
+	received      uint32
+	establishedAt time.Time
+	done          bool
 	// answered is true once the first request was answered, pausing until the second
 	// one is sent.
 	answered  bool
@@ -129,7 +131,7 @@
 func (f *flow) sendRequest() {
 	data := make([]byte, requestBytes)
 	binary.BigEndian.PutUint64(data, f.request)
-	f.send(&packet{flags: flagAck, token: f.token, ack: f.upstreamNumber, data: data})
+	f.send(&packet{flags: flagAck, token: f.token, sequence: f.sent, ack: f.upstreamNumber + f.received, data: data})
 }
 
 // retransmit sends the request again and reschedules itself until the flow ends.
@@ -144,7 +146,9 @@
 
 // handleResponse ends the flow, or leaves it open for a second request.
 func (f *flow) handleResponse() {
-	if f.answered || f.request%pausingFlows != 0 {
+	f.sent, f.received = f.sent+requestBytes, f.received+responseBytes
+	f.send(&packet{flags: flagAck, token: f.token, sequence: f.sent, ack: f.upstreamNumber + f.received})
+	if f.answered || f.destination != streamRoute() {
 		f.finishLocked(outcomeAnswered)
 		return
 	}
@@ -155,11 +159,28 @@
 		f.caller.mu.Lock()
 		f.request, f.pausing = request, false
 		f.caller.mu.Unlock()
+		f.checkReach()
 		f.retransmit()
 	})
 	time.AfterFunc(minPause+pauseRange+pausedTimeout, func() { f.finish(outcomeTimedOut) })
 }
 
+// checkReach checks that a flow whose upstream fell silent before its second request is
+// reset or answered soon after that.
+func (f *flow) checkReach() {
+	s := f.caller.testbed
+	if s.upstreamAlive(f.upstreamNumber) {
+		return
+	}
+	s.schedule(reachBound+schedulingTolerance, func() {
+		f.caller.mu.Lock()
+		defer f.caller.mu.Unlock()
+		if !f.done && s.journal.undisturbedFor(reachBound) {
+			s.journal.recordViolation(guaranteeReach, "%s is still open %s after a request to a dead upstream", f.source, reachBound)
+		}
+	})
+}
+
 // isMisrouted counts a packet that reached the upstream with the given number and
 // reports whether packets of the flow keep reaching others than its own.
 func (f *flow) isMisrouted(number uint64) bool {
@@ -186,7 +207,7 @@
 	}
 	f.done = true
 	if !f.establishedAt.IsZero() {
-		f.send(&packet{flags: flagFin | flagAck, token: f.token, ack: f.upstreamNumber})
+		f.send(&packet{flags: flagFin | flagAck, token: f.token, sequence: f.sent, ack: f.upstreamNumber + f.received})
 	}
 	delete(f.caller.flows, f.source.Port())
 	if !f.answered {
--- a/internal/soak/event.go
+++ b/internal/soak/event.go
@@ -30,6 +30,10 @@
 	// republishDelay is the time after which upstreams write their expired
 	// entries again once the store is back.
 	republishDelay = 1500 * time.Millisecond
+	// pressureInterval is the time between two pairs of flows under pressure, which lasts
+	// for maxPressure at most.
+	pressureInterval = time.Millisecond
+	maxPressure      = 1500 * time.Millisecond
 	// finalQuietPeriod is the time without new events at the end of a run.
 	finalQuietPeriod = recoveryBound + 5*time.Second
 )
@@ -60,6 +64,8 @@
 		{"store restored", false, func(s *Testbed, duration time.Duration) { s.restoreStore(duration) }},
 		{"packets lost", false, func(s *Testbed, duration time.Duration) { s.dropPackets(duration) }},
 		{"upstream crashes", false, func(s *Testbed, _ time.Duration) { s.crashUpstream() }},
+		{"upstream falls silent", true, func(s *Testbed, _ time.Duration) { s.silenceUpstream() }},
+		{"pressure", false, func(s *Testbed, duration time.Duration) { s.press(duration) }},
 		{"upstream restarts", false, func(s *Testbed, duration time.Duration) { s.restartUpstream(duration) }},
 		{"upstream drains", true, func(s *Testbed, _ time.Duration) { s.drainUpstream() }},
 		{"data centre out", true, func(s *Testbed, duration time.Duration) { s.takeOutDataCentre(duration) }},
@@ -96,6 +102,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	s.journal.checkUrgent()
 	if ratio := s.journal.answeredRatio(quietStart.Add(recoveryBound), end.Add(-flowTimeout)); ratio < minAnsweredRatio {
 		s.journal.recordViolation(guaranteeRecovery, "ratio of responses to new flows is %.2f, measured from %s after the last event", ratio, recoveryBound)
 	}
@@ -234,6 +241,37 @@
 	s.schedule(2*time.Second, func() { s.store.Delete("servers/" + u.id) })
 }
 
+// silenceUpstream makes an upstream fall silent for good, as if the power of its machine
+// failed.
+func (s *Testbed) silenceUpstream() {
+	list := s.activeUpstreams()
+	u := list[s.random.IntN(len(list))]
+	s.startReplacement(u)
+	u.crashed.Store(true)
+	s.schedule(4*time.Second, func() { s.store.Delete("servers/" + u.id) })
+}
+
+// press opens more flows than the upstreams can serve, as many urgent ones as others.
+func (s *Testbed) press(duration time.Duration) {
+	j := s.journal
+	end := time.Now().Add(min(duration, maxPressure))
+	var next func()
+	next = func() {
+		for destination, c := range map[netip.AddrPort]*classCount{mainRoute(): &j.urgent, streamRoute(): &j.patient} {
+			answered := j.recordPressure(c)
+			s.openFlowFromRandomCaller(destination, func(o outcome) {
+				if o == outcomeAnswered {
+					answered()
+				}
+			})
+		}
+		if time.Now().Before(end) {
+			s.schedule(pressureInterval, next)
+		}
+	}
+	next()
+}
+
 // restartUpstream crashes an upstream while the store is silent and starts it again
 // under its id. Its new entry is written when the store answers again.
 func (s *Testbed) restartUpstream(duration time.Duration) {
@@ -321,7 +359,7 @@
 	var removed netip.AddrPort
 	s.mu.Lock()
 	for a := range s.routes {
-		if a != mainRoute() && a != bulkRoute() {
+		if a != mainRoute() && a != bulkRoute() && a != streamRoute() {
 			removed = a
 		}
 	}
--- a/internal/soak/journal.go
+++ b/internal/soak/journal.go
@@ -29,6 +29,13 @@
 	guaranteeCold = "cold"
 	// Packets of an established flow reach its upstream.
 	guaranteeFlow = "flow"
+	// Open flows whose upstream is dead are reset within reachBound of their next request.
+	guaranteeReach = "reach"
+	reachBound     = 3 * time.Second
+	// More urgent flows are not answered less often than others of their service, by more
+	// than urgentTolerance, while the load exceeds what upstreams bear.
+	guaranteeUrgent = "urgent"
+	urgentTolerance = 0.1
 	// Flows are answered again within recoveryBound after the last event.
 	guaranteeRecovery = "recovery"
 	// An instance exits within terminationGrace of SIGTERM.
@@ -82,6 +89,36 @@
 	startedFlows   int
 	responseTimes  []time.Time
 	startTimes     []time.Time
+	// urgent and patient count the flows of the two classes under pressure.
+	urgent, patient classCount
+}
+
+// classCount counts flows of a class that started and those of them that were answered.
+type classCount struct{ started, answered int }
+
+func (c classCount) ratio() float64 { return float64(c.answered) / float64(max(c.started, 1)) }
+
+// checkUrgent checks that urgent flows were served no worse than others under pressure.
+func (j *journal) checkUrgent() {
+	j.mu.Lock()
+	urgent, patient := j.urgent, j.patient
+	j.mu.Unlock()
+	if min(urgent.started, patient.started) >= 100 && urgent.ratio() < patient.ratio()-urgentTolerance {
+		j.recordViolation(guaranteeUrgent, "%.2f of %d urgent flows were answered under pressure, %.2f of %d others", urgent.ratio(), urgent.started, patient.ratio(), patient.started)
+	}
+}
+
+// recordPressure counts a flow under pressure and returns the function to call when it is
+// answered.
+func (j *journal) recordPressure(c *classCount) func() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	c.started++
+	return func() {
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		c.answered++
+	}
 }
 
 func (j *journal) recordViolation(guarantee, format string, args ...any) {
--- a/internal/soak/packet.go
+++ b/internal/soak/packet.go
@@ -31,7 +31,10 @@
 	source      netip.AddrPort
 	destination netip.AddrPort
 	flags       byte
-	// ack holds the low 32 bits of the upstream number, or the attempt in a SYN.
+	// sequence is the number of the first byte of the data.
+	sequence uint32
+	// ack holds the low 32 bits of the upstream number plus the number of bytes received
+	// from it, or the attempt in a SYN.
 	ack  uint32
 	data []byte
 }
@@ -48,6 +51,7 @@
 	binary.BigEndian.PutUint16(b[18:], p.destination.Port())
 	b[20] = p.flags
 	binary.BigEndian.PutUint16(b[26:], uint16(len(p.data)))
+	binary.BigEndian.PutUint32(b[28:], p.sequence)
 	binary.BigEndian.PutUint32(b[32:], p.ack)
 	b = append(b, p.data...)
 	binary.BigEndian.PutUint32(b[4:], checksum(b))
@@ -70,7 +74,7 @@
 		token:       binary.BigEndian.Uint32(b),
 		destination: netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[8:12])), binary.BigEndian.Uint16(b[18:])),
 		source:      netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[12:16])), binary.BigEndian.Uint16(b[16:])),
-		flags:       b[20], ack: binary.BigEndian.Uint32(b[32:]), data: b[headerBytes:],
+		flags:       b[20], sequence: binary.BigEndian.Uint32(b[28:]), ack: binary.BigEndian.Uint32(b[32:]), data: b[headerBytes:],
 	}
 	return p, binary.BigEndian.Uint32(b[4:]) == checksum(b), true
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -111,6 +111,8 @@
 		{guaranteeMixed, "platform/packet.go", "head[flagsAt] = flagReset", "head[flagsAt] = flagAck", []string{"route added", "route removed"}},
 		{guaranteeShutdown, "platform/run.go", "drainShare = 0.4", "drainShare = 4", []string{"stop one", "route removed"}},
 		{guaranteeRegress, "internal/catalog/catalog.go", "newer := i.Configuration != nil && cmp.Or(cmp.Compare(i.Configuration.Version, held.Configuration.Version), cmp.Compare(i.Revision, held.Revision)) > 0", "newer := i.Configuration != nil", []string{"store restored", "route added"}},
+		{guaranteeReach, "internal/tokenrouter/reach.go", "rt.emit(Effect{Kind: Refuse,", "_ = (Effect{Kind: Refuse,", []string{"upstream falls silent", "route removed"}},
+		{guaranteeUrgent, "internal/tokenrouter/admission.go", "t.Request.Urgent = t.Priority < rt.leastUrgent[t.Request.Service]", "t.Priority, t.Request.Urgent = -t.Priority, t.Priority == rt.leastUrgent[t.Request.Service]", []string{"pressure", "route removed"}},
 		{guaranteeRecovery, "internal/tokenrouter/choose.go", "func (rt *Router) offer(now time.Time, o *opening, number uint64) {", "func (rt *Router) offer(now time.Time, o *opening, number uint64) {\n\tif now.Sub(rt.started) > 20*time.Second {\n\t\treturn\n\t}", []string{"route added", "route removed"}},
 	}
 	for _, c := range cases {
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -89,6 +89,9 @@
 func mainRoute() netip.AddrPort { return netip.MustParseAddrPort("198.18.0.1:8443") }
 func bulkRoute() netip.AddrPort { return netip.MustParseAddrPort("198.18.0.2:8443") }
 
+// streamRoute leads to the service of mainRoute. It is less urgent, and its flows stay open.
+func streamRoute() netip.AddrPort { return netip.MustParseAddrPort("198.18.0.3:8443") }
+
 func dataCentres() []string { return []string{"norte", "sur", "office"} }
 
 // Run executes one run. It returns early, with the result so far, if ctx is
@@ -116,7 +119,7 @@
 	if s.fabric, err = newFabric(); err != nil {
 		return err
 	}
-	s.routes[mainRoute()], s.routes[bulkRoute()] = "desk", "house"
+	s.routes[mainRoute()], s.routes[streamRoute()], s.routes[bulkRoute()] = "desk", "desk", "house"
 	s.publish()
 	for n := range 12 {
 		service := "desk"
@@ -248,7 +251,11 @@
 	var routes []route
 	for a, name := range s.routes {
 		s.everRouted[a] = name
-		routes = append(routes, route{a.Addr().String(), fmt.Sprintf("/%d/", a.Port()), "unsafe", 1400, 100, 1, name})
+		kind, priority := "unsafe", 1
+		if a == streamRoute() {
+			kind, priority = "safe", 2
+		}
+		routes = append(routes, route{a.Addr().String(), fmt.Sprintf("/%d/", a.Port()), kind, 1400, 100, priority, name})
 	}
 	content, err := json.Marshal(map[string]any{
 		"version": s.version, "routes": routes, "services": []service{{"desk", coldPeriod.Seconds(), coldPerSecond}, {"house", coldPeriod.Seconds(), coldPerSecond}},
@@ -346,7 +353,7 @@
 }
 
 // generateLoad opens flows at the configured rate until done is closed. Every sixth
-// flow goes to bulkRoute.
+// flow goes to bulkRoute, every fourth to streamRoute.
 func (s *Testbed) generateLoad(done <-chan struct{}) {
 	ticker := time.NewTicker(time.Duration(float64(time.Second) / s.config.Rate))
 	defer ticker.Stop()
@@ -357,8 +364,11 @@
 			return
 		}
 		destination := mainRoute()
-		if n%6 == 5 {
+		switch {
+		case n%6 == 5:
 			destination = bulkRoute()
+		case n%4 == 3:
+			destination = streamRoute()
 		}
 		s.journal.recordFlowStart()
 		s.openFlowFromRandomCaller(destination, func(o outcome) {
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -133,7 +133,7 @@
 			u.testbed.recordMisrouted(u, p)
 			u.reply(p, &connection{}, flagReset, nil)
 		}
-	case p.ack != uint32(u.number):
+	case p.ack-uint32(u.number) > 2*responseBytes:
 		// The caller established the flow with another upstream.
 		u.testbed.recordMisrouted(u, p)
 	case p.flags&(flagFin|flagReset) != 0:
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -90,3 +90,37 @@
 		t.Errorf("usual duration is %s after the service became ten times faster, want 5ms", got)
 	}
 }
+
+// An upstream with two slots takes twice as long for two requests at once: it takes one well.
+// One whose durations do not depend on the number takes both, and a third request that waits
+// says nothing.
+func TestCurveFindsWhereUpstreamSlowsDown(t *testing.T) {
+	for name, c := range map[string]struct{ alone, full, want float64 }{
+		"slows down":      {1, 2, 1},
+		"slows a little":  {1, 1.6, 1.25},
+		"does not":        {1, 1.1, 2},
+		"slow, but even":  {2, 2, 2},
+		"fast and slowed": {0.5, 1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var curve Curve
+			random := rand.New(rand.NewPCG(4, 4))
+			for n := range 60 {
+				noise := 0.5 + random.Float64()
+				now := at(time.Duration(n) * 50 * time.Millisecond)
+				curve.Add(now, c.alone*noise, 1, 2)
+				curve.Add(now, c.full*noise, 2, 2)
+				curve.Add(now, 5, 4, 2)
+			}
+			if got := curve.Slots(at(3*time.Second), 2, 1); math.Abs(got-c.want) > 0.3 {
+				t.Errorf("the upstream takes %.2f requests at once well, want %.2f", got, c.want)
+			}
+			if got := curve.Slots(at(3*time.Second), 2, c.full/c.alone); got != 2 {
+				t.Errorf("an upstream like all others takes %.2f requests at once well, want 2", got)
+			}
+			if got := curve.Slots(at(30*time.Second), 2, 1); got != 2 {
+				t.Errorf("after a time without requests it takes %.2f, want 2", got)
+			}
+		})
+	}
+}
