--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -402,12 +402,21 @@
 // ConfigurationVersion returns the version of the configuration, zero if there is
 // none.
 func (c *Catalog) ConfigurationVersion() uint64 {
-	if h, ok := c.items[KeyConfiguration]; ok && h.item.Configuration != nil {
-		return h.item.Configuration.Version
+	if inForce := c.Configuration(); inForce != nil {
+		return inForce.Version
 	}
 	return 0
 }
 
+// Configuration returns the configuration held, nil if there is none. It must not be
+// changed.
+func (c *Catalog) Configuration() *Configuration {
+	if h, ok := c.items[KeyConfiguration]; ok {
+		return h.item.Configuration
+	}
+	return nil
+}
+
 // Get returns the item of a key. The item may mark a deletion.
 func (c *Catalog) Get(key string) (Item, bool) {
 	if h, ok := c.items[key]; ok {
--- a/internal/scheduler/measured.go
+++ b/internal/scheduler/measured.go
@@ -39,13 +39,26 @@
 	return pl != nil && pl.measured
 }
 
-// WorkIn returns the average number of requests under way in open flows of an upstream.
-func (p *Scheduler) WorkIn(now time.Time, number uint64) float64 {
+// Measures is what is measured of an upstream.
+type Measures struct {
+	// Open is the number of flows that stay open, Work the average number of their requests
+	// under way.
+	Open int
+	Work float64
+	// Slowness is how long requests take compared with other upstreams.
+	Slowness float64
+	// AtOnce is the number of requests at once that the upstream takes well.
+	AtOnce float64
+}
+
+// Measures returns what is measured of an upstream.
+func (p *Scheduler) Measures(now time.Time, number uint64) Measures {
 	u, ok := p.upstreams[number]
 	if !ok {
-		return 0
+		return Measures{}
 	}
-	return u.work.Work(now, p.pools[u.info.Service].workPerFlow)
+	pl := p.pools[u.info.Service]
+	return Measures{u.work.Open(), u.work.Work(now, pl.workPerFlow), u.speed.Slowness(now), u.slots(now, pl)}
 }
 
 // ForgetWork drops what an instance said of the work at upstreams, because its process
--- a/internal/tokenrouter/dump.go
+++ b/internal/tokenrouter/dump.go
@@ -49,9 +49,18 @@
 	State      string `json:"state"`
 	Suspect    bool   `json:"suspect"`
 	// MayBeCold is true if the upstream fell silent and may have restarted since.
-	MayBeCold   bool   `json:"may-be-cold"`
-	Outstanding int    `json:"outstanding"`
-	Coordinator string `json:"accountant"`
+	MayBeCold   bool `json:"may-be-cold"`
+	Outstanding int  `json:"outstanding"`
+	// Open is the number of flows that stay open there, Work the average number of their
+	// requests under way, Slowness how long requests take compared with other upstreams and
+	// AtOnce how many at once it takes well. They are known to the coordinator.
+	Open        int     `json:"open-flows"`
+	Work        float64 `json:"work-in-open-flows"`
+	Slowness    float64 `json:"slowness"`
+	AtOnce      float64 `json:"at-once"`
+	Ejected     bool    `json:"ejected"`
+	OutOfReach  bool    `json:"out-of-reach"`
+	Coordinator string  `json:"accountant"`
 }
 
 // Dump returns the state of the instance at the time now.
@@ -80,9 +89,12 @@
 	n := u.info.Number
 	c := rt.coordinator(now, u.info.Service, rt.scheduler.GroupOf(u.info.Service, n))
 	_, mayBeCold := rt.scheduler.DoubtOf(now, n)
+	m := rt.scheduler.Measures(now, n)
+	_, outOfReach := rt.stuck.outOfReach[n]
 	return UpstreamDump{
-		u.key, u.info.Service, u.info.DataCentre, u.info.Address.String(), hex(u.token), rt.stateName(u),
-		rt.scheduler.IsSuspect(now, n), mayBeCold, rt.scheduler.OutstandingFlows(now, n), coordinatorName(c),
+		Key: u.key, Service: u.info.Service, DataCentre: u.info.DataCentre, Address: u.info.Address.String(), Token: hex(u.token), State: rt.stateName(u),
+		Suspect: rt.scheduler.IsSuspect(now, n), MayBeCold: mayBeCold, Outstanding: rt.scheduler.OutstandingFlows(now, n), Coordinator: coordinatorName(c),
+		Open: m.Open, Work: m.Work, Slowness: m.Slowness, AtOnce: m.AtOnce, Ejected: rt.scheduler.IsEjected(now, n), OutOfReach: outOfReach,
 	}
 }
 
--- a/internal/tokenrouter/router.go
+++ b/internal/tokenrouter/router.go
@@ -147,6 +147,10 @@
 	return rt.catalog.ChangesSince(since)
 }
 
+// Configuration returns the configuration in force, nil if there is none. It must not be
+// changed.
+func (rt *Router) Configuration() *catalog.Configuration { return rt.catalog.Configuration() }
+
 // Counts returns the counters accumulated since the start.
 func (rt *Router) Counts() Counts { return rt.counts }
 
--- a/internal/tokenrouter/work_test.go
+++ b/internal/tokenrouter/work_test.go
@@ -31,7 +31,7 @@
 	for _, n := range w.nodes {
 		s := &n.router.scheduler
 		if n.up && n.router.coordinator(w.now, "desk", s.GroupOf("desk", u.info.Number)) == nil {
-			sum += s.WorkIn(w.now, u.info.Number)
+			sum += s.Measures(w.now, u.info.Number).Work
 		}
 	}
 	return sum
--- a/internal/tokenserver/inspect.go
+++ b/internal/tokenserver/inspect.go
@@ -26,8 +26,8 @@
 // Unwrap returns the cause.
 func (e *FlowError) Unwrap() error { return e.Cause }
 
-// InspectHandler returns the handler for operators, with /metrics, /dump and
-// /explain.
+// InspectHandler returns the handler for operators, with /metrics, /dump, /explain and
+// /configuration.
 func (s *Server) InspectHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { s.WriteMetrics(w) })
@@ -38,9 +38,21 @@
 		s.writeJSON(w, d)
 	})
 	mux.HandleFunc("GET /explain", s.serveExplain)
+	mux.HandleFunc("GET /configuration", s.serveConfiguration)
 	return mux
 }
 
+func (s *Server) serveConfiguration(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	c := s.router.Configuration()
+	s.mu.Unlock()
+	if c == nil {
+		http.Error(w, "no configuration", http.StatusNotFound)
+		return
+	}
+	s.writeJSON(w, c)
+}
+
 func (s *Server) serveExplain(w http.ResponseWriter, r *http.Request) {
 	source, destination, err := parseFlow(r.URL.Query().Get("flow"))
 	if err != nil {
