Keep open flows at their upstream for as long as they are followed

A flow's acknowledgement went through another instance, the question whether it is open got lost, and its opening went to a second upstream. Open flows are followed now, so their upstream is known for longer.

TestFlowStaysAtItsUpstreamWhenSeekIsLost fails without the change.

--- a/internal/tokenrouter/pin.go
+++ b/internal/tokenrouter/pin.go
@@ -145,6 +145,10 @@
 		return nil, false
 	}
 	first := s.noteSeen(now, flow, u.info.Number)
+	if open, ok := rt.work.flows.Upstream(flow); ok {
+		// The flow may have paused for longer than its first packet is remembered.
+		first = open
+	}
 	_, sought := s.sought[flow]
 	if first == u.info.Number && !sought {
 		return u, true
@@ -285,6 +289,7 @@
 	if p.Retransmission == 0 {
 		rt.pins.forgetSeen(flow)
 		delete(rt.pins.held, flow)
+		rt.work.flows.Close(now, flow)
 		return nil, false
 	}
 	number, ok := rt.pins.recent(now, flow)
--- a/internal/tokenrouter/pin_test.go
+++ b/internal/tokenrouter/pin_test.go
@@ -293,3 +293,35 @@
 		t.Errorf("%d packets of %d flows reached an upstream that the flow is not open at, want none", misrouted, len(list))
 	}
 }
+
+// The acknowledgement goes through another instance, and the question whether the flow is
+// open gets lost on the way there. After a pause in which the flow's first packet is
+// forgotten, the caller sends the token of an upstream that answered later.
+func TestFlowStaysAtItsUpstreamWhenSeekIsLost(t *testing.T) {
+	w := newSmallFleet(t, 88)
+	w.configureSessions(2, idleTimeout)
+	w.advance(time.Second)
+	opening, other := w.nodes[0], w.nodes[1]
+	c := w.call(deskRoute, opening)
+	c.keepsOpen = true
+	w.advance(callerDelay + peerDelay/2)
+	c.via = other
+	w.cutOff = func(a, b *node) bool { return a == opening || b == opening }
+	w.advance(400 * time.Millisecond)
+	w.cutOff = nil
+	hedged := uint64(0)
+	for number, u := range w.upstreams {
+		if number != c.openedUpstream && len(u.openTimes) > 0 {
+			hedged = number
+		}
+	}
+	if hedged == 0 {
+		t.Fatal("the opening was not sent to a second upstream")
+	}
+	w.advance(4 * time.Second)
+	c.token = other.router.upstreams.byNumber[hedged].token
+	c.sendVia(other)
+	if misrouted := w.misroutedPackets(); misrouted > 0 {
+		t.Errorf("%d packets reached an upstream that the flow is not open at, want none", misrouted)
+	}
+}
--- a/internal/work/flows.go
+++ b/internal/work/flows.go
@@ -272,6 +272,12 @@
 	return f.began, f.repeats
 }
 
+// Upstream returns the upstream of a flow that is followed.
+func (s *Flows) Upstream(id uint64) (number uint64, ok bool) {
+	f, ok := s.flows[id]
+	return f.upstream, ok
+}
+
 // Close forgets a flow that its caller has ended. It returns true if the coordinator
 // knows already that the flow was idle.
 func (s *Flows) Close(now time.Time, id uint64) bool {
