--- a/internal/tokenrouter/admission.go
+++ b/internal/tokenrouter/admission.go
@@ -40,6 +40,24 @@
 	return r
 }
 
+// refuseUnrouted resets a flow whose address has no route. If no instance is
+// known to read the store, a route may have been added unnoticed; the flow is
+// not reset then and the caller retransmits.
+func (rt *Router) refuseUnrouted(now time.Time, id flowID) {
+	if !rt.catalogFresh(now) {
+		rt.flowLog("unrouted", id, "through", revision(rt.catalog.Through()))
+		return
+	}
+	rt.refuse(id, "no-route")
+}
+
+// refuse resets a flow that is not open yet.
+func (rt *Router) refuse(id flowID, reason string) {
+	rt.counts.Refused++
+	rt.flowLog("refused", id, "reason", reason, "through", revision(rt.catalog.Through()))
+	rt.emit(Effect{Kind: Refuse, Source: id.source, Destination: id.destination})
+}
+
 // refuseExcess refuses waiting flows that their group cannot serve before their callers
 // give up.
 func (rt *Router) refuseExcess(now time.Time) {
--- a/internal/tokenrouter/choose.go
+++ b/internal/tokenrouter/choose.go
@@ -10,6 +10,16 @@
 	"github.com/chervilhaven/chervilhaven/internal/scheduler"
 )
 
+const (
+	// askTimeout is the time allowed for the coordinator's answer: two one-way
+	// trips between data centres, plus scheduling delay on a busy processor.
+	askTimeout = 8 * time.Millisecond
+	// askTimeoutWithoutRoom is that time while upstreams have no room, as of
+	// roomShortPeriod ago at most.
+	askTimeoutWithoutRoom = 40 * time.Millisecond
+	roomShortPeriod       = time.Second
+)
+
 // choose requests the next upstream for an opening from the coordinator of its
 // group of upstreams, or chooses one locally if this instance is the
 // coordinator.
--- a/internal/tokenrouter/opening.go
+++ b/internal/tokenrouter/opening.go
@@ -22,13 +22,6 @@
 	maxOpenings = 8192
 	// maxTries limits the number of upstreams that one opening is sent to.
 	maxTries = 4
-	// askTimeout is the time allowed for the coordinator's answer: two one-way
-	// trips between data centres, plus scheduling delay on a busy processor.
-	askTimeout = 8 * time.Millisecond
-	// askTimeoutWithoutRoom is that time while upstreams have no room, as of
-	// roomShortPeriod ago at most.
-	askTimeoutWithoutRoom = 40 * time.Millisecond
-	roomShortPeriod       = time.Second
 	// initialAckTime is the assumed time to the caller's acknowledgement until
 	// one has been measured: two one-way trips of 3 ms to the caller plus a
 	// margin.
@@ -336,24 +329,6 @@
 	rt.choose(now, o)
 }
 
-// refuseUnrouted resets a flow whose address has no route. If no instance is
-// known to read the store, a route may have been added unnoticed; the flow is
-// not reset then and the caller retransmits.
-func (rt *Router) refuseUnrouted(now time.Time, id flowID) {
-	if !rt.catalogFresh(now) {
-		rt.flowLog("unrouted", id, "through", revision(rt.catalog.Through()))
-		return
-	}
-	rt.refuse(id, "no-route")
-}
-
-// refuse resets a flow that is not open yet.
-func (rt *Router) refuse(id flowID, reason string) {
-	rt.counts.Refused++
-	rt.flowLog("refused", id, "reason", reason, "through", revision(rt.catalog.Through()))
-	rt.emit(Effect{Kind: Refuse, Source: id.source, Destination: id.destination})
-}
-
 // expireOpenings sends due reports and handles openings whose phase timed out.
 func (rt *Router) expireOpenings(now time.Time) {
 	rt.flushReports(now)
