--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"slices"
 	"time"
 
@@ -16,6 +15,9 @@
 	// it is not repeated: the caller has given up or another instance has placed the
 	// flow. Callers retransmit at most 400 ms apart.
 	retryTimeout = 500 * time.Millisecond
+	// strictRetryTimeout is that of strict flows, whose requests are repeated with the
+	// caller's second retransmission only, 600 ms after the first packet.
+	strictRetryTimeout = 750 * time.Millisecond
 	// queueShareOfTarget is the part of the target time that a flow may spend waiting
 	// and still be answered in time. The rest is for the work and the network.
 	queueShareOfTarget = 0.5
@@ -52,7 +54,11 @@
 
 // expired reports whether the caller has given up or asks elsewhere.
 func (t *PendingFlow) expired(now time.Time) bool {
-	return now.Sub(t.Opened) >= t.Deadline || now.Sub(t.LastRequested) >= retryTimeout
+	timeout := retryTimeout
+	if t.Strict {
+		timeout = strictRetryTimeout
+	}
+	return now.Sub(t.Opened) >= t.Deadline || now.Sub(t.LastRequested) >= timeout
 }
 
 // scope identifies the upstreams that a flow may use.
@@ -88,9 +94,8 @@
 type waitingFlow[K comparable] struct {
 	PendingFlow
 	key K
-	// late is true if the flow stands among the late ones, at index of their heap.
-	late  bool
-	index int
+	// late is true if the flow stands among the late ones.
+	late bool
 }
 
 // before reports whether w is served before b.
@@ -111,41 +116,56 @@
 
 // line holds the waiting flows of one scope and priority: those that can still meet their
 // target and the late ones. A flow is moved to the late ones when it is due to be served.
-type line[K comparable] struct{ inTime, late flowHeap[K] }
+type line[K comparable] struct {
+	inTime, late ordered[K]
+	// since is when the first flow came into the empty line.
+	since time.Time
+}
 
 func (l *line[K]) len() int { return len(l.inTime) + len(l.late) }
 
-func (l *line[K]) heapOf(w *waitingFlow[K]) *flowHeap[K] {
+func (l *line[K]) listOf(w *waitingFlow[K]) *ordered[K] {
 	if w.late {
 		return &l.late
 	}
 	return &l.inTime
 }
 
-// flowHeap is a heap of flows, the one with the most recent packet at its top.
-type flowHeap[K comparable] []*waitingFlow[K]
-
-func (h flowHeap[K]) Len() int           { return len(h) }
-func (h flowHeap[K]) Less(i, j int) bool { return h[i].LastPacket.After(h[j].LastPacket) }
-func (h flowHeap[K]) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
+// next returns the flow to serve first. The flow with the most recent packet goes first, but
+// in a line of strict flows that was empty not long ago none has to be left behind: there the
+// one that has waited longest goes first (adaptive LIFO, Maurer 2015). The line must not be
+// empty.
+func (l *line[K]) next(now time.Time) *waitingFlow[K] {
+	if len(l.inTime) == 0 {
+		return l.late[len(l.late)-1]
+	}
+	oldest := l.inTime[0]
+	if oldest.Strict && now.Sub(l.since) <= time.Duration(queueShareOfTarget*float64(oldest.Target)) {
+		return oldest
+	}
+	return l.inTime[len(l.inTime)-1]
 }
 
-// Push implements heap.Interface.
-func (h *flowHeap[K]) Push(x any) {
-	w := x.(*waitingFlow[K]) //nolint:forcetypeassert // Only Queue pushes.
-	w.index = len(*h)
-	*h = append(*h, w)
+// ordered holds flows by the time of their last packet, the most recent one at its end.
+type ordered[K comparable] []*waitingFlow[K]
+
+// push adds a flow, which mostly is the most recent one.
+func (o *ordered[K]) push(w *waitingFlow[K]) {
+	n := len(*o)
+	for n > 0 && (*o)[n-1].LastPacket.After(w.LastPacket) {
+		n--
+	}
+	*o = slices.Insert(*o, n, w)
 }
 
-// Pop implements heap.Interface.
-func (h *flowHeap[K]) Pop() any {
-	last := len(*h) - 1
-	w := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	return w
+func (o *ordered[K]) remove(w *waitingFlow[K]) {
+	n, _ := slices.BinarySearchFunc(*o, w, func(a, b *waitingFlow[K]) int { return a.LastPacket.Compare(b.LastPacket) })
+	for ; n < len(*o); n++ {
+		if (*o)[n] == w {
+			*o = slices.Delete(*o, n, n+1)
+			return
+		}
+	}
 }
 
 // Add enqueues a flow, or replaces a waiting one and keeps the later
@@ -163,10 +183,10 @@
 	w := &waitingFlow[K]{PendingFlow: t, key: key}
 	k := w.lineKey()
 	if q.lines[k] == nil {
-		q.lines[k] = &line[K]{}
+		q.lines[k] = &line[K]{since: t.LastRequested}
 	}
 	q.waiting[key] = w
-	heap.Push(&q.lines[k].inTime, w)
+	q.lines[k].inTime.push(w)
 }
 
 func (t *PendingFlow) lineKey() lineKey { return lineKey{t.scope(), t.Priority} }
@@ -179,7 +199,7 @@
 	}
 	delete(q.waiting, key)
 	l := q.lines[w.lineKey()]
-	heap.Remove(l.heapOf(w), w.index)
+	l.listOf(w).remove(w)
 	if l.len() == 0 {
 		delete(q.lines, w.lineKey())
 	}
@@ -276,18 +296,14 @@
 // flows that it meets, and moves those that have become late.
 func (q *Queue[K]) first(now time.Time, l *line[K]) *waitingFlow[K] {
 	for l.len() > 0 {
-		h := &l.inTime
-		if len(*h) == 0 {
-			h = &l.late
-		}
-		w := (*h)[0]
+		w := l.next(now)
 		switch {
 		case w.expired(now):
 			q.Remove(w.key)
 		case !w.late && w.Late(now):
-			heap.Pop(h)
+			l.inTime.remove(w)
 			w.late = true
-			heap.Push(&l.late, w)
+			l.late.push(w)
 		default:
 			return w
 		}
@@ -319,8 +335,7 @@
 	if waiting <= length || least == nil {
 		return nil
 	}
-	late := slices.Clone(q.lines[least.lineKey()].late)
-	slices.SortFunc(late, func(a, b *waitingFlow[K]) int { return a.LastPacket.Compare(b.LastPacket) })
+	late := q.lines[least.lineKey()].late
 	var keys []K
 	for _, w := range late[:min(len(late), count, waiting-length)] {
 		keys = append(keys, w.key)
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -149,3 +149,62 @@
 		t.Errorf("%v are refused from a line that is not too long", got)
 	}
 }
+
+// In a line that was empty a moment ago the flow that has waited longest goes first. In one
+// that has been standing for longer the most recent one does, as the others are late by the
+// time that it is their turn.
+func TestOldestFlowGoesFirstWhileLineIsShort(t *testing.T) {
+	order := func(standing time.Duration) (keys []int) {
+		var q Queue[int]
+		for n := range 3 {
+			f := strict(960*time.Millisecond+time.Duration(n)*10*time.Millisecond, 1)
+			f.LastRequested = at(time.Second - standing)
+			q.Add(n, f)
+		}
+		q.Serve(at(time.Second), func(key int, _ *PendingFlow) bool { keys = append(keys, key); return true })
+		return keys
+	}
+	if d := cmp.Diff([]int{0, 1, 2}, order(40*time.Millisecond)); d != "" {
+		t.Errorf("order in a short line (-want +got):\n%s", d)
+	}
+	if d := cmp.Diff([]int{2, 1, 0}, order(300*time.Millisecond)); d != "" {
+		t.Errorf("order in a standing line (-want +got):\n%s", d)
+	}
+}
+
+// Three times as many flows ask for room as there is. The share that may ask falls until the
+// coordinator hears of twice as many as it can place.
+func TestThrottleLetsTwiceThePlacementsPass(t *testing.T) {
+	var throttle Throttle
+	passed, placed, turn := 0, 0, 0.0
+	for n := range 6000 {
+		now := at(time.Duration(n) * time.Millisecond)
+		throttle.Requested(now)
+		// Spread evenly: every share of the requests passes.
+		turn += 1 - throttle.Excess()
+		if turn < 1 {
+			continue
+		}
+		turn--
+		if n >= 3000 {
+			passed++
+		}
+		if n%3 == 0 || passed%2 == 0 && n%4 == 1 {
+			throttle.Placed(now)
+			if n >= 3000 {
+				placed++
+			}
+		}
+	}
+	if passed < placed || passed > 3*placed {
+		t.Errorf("%d of 3000 requests passed for %d placements, want about twice as many", passed, placed)
+	}
+	var idle Throttle
+	for n := range 100 {
+		idle.Requested(at(time.Duration(n) * time.Millisecond))
+		idle.Placed(at(time.Duration(n) * time.Millisecond))
+	}
+	if e := idle.Excess(); e > 0 {
+		t.Errorf("a share of %.2f is held back although all are placed", e)
+	}
+}
--- a/internal/scheduler/ejection.go
+++ b/internal/scheduler/ejection.go
@@ -10,6 +10,9 @@
 // judgeAnswers weighs answers of an upstream of which some came too soon. It returns true
 // if the upstream has been ejected, or no longer is.
 func (p *Scheduler) judgeAnswers(now time.Time, u *upstream, more work.Increase) bool {
+	if u.mayShed(now, p.pools[u.info.Service]) {
+		return false
+	}
 	u.outlier.Add(now, int(more.Answers), int(more.Early))
 	if more.Early == 0 && !u.outlier.Ejected(now) {
 		return false
@@ -24,6 +27,12 @@
 	return u.outlier.Judge(now, group)
 }
 
+// mayShed reports whether the upstream has so much to do that requests may find its queue
+// full. That it refuses them at once then is no fault.
+func (u *upstream) mayShed(now time.Time, pl *pool) bool {
+	return u.load(now, pl) >= boundPerSlot*float64(max(u.info.Slots, 1))
+}
+
 // IsEjected reports whether the upstream gets trial flows only, because too many of its
 // answers come too soon.
 func (p *Scheduler) IsEjected(now time.Time, number uint64) bool {
--- a/internal/scheduler/measured.go
+++ b/internal/scheduler/measured.go
@@ -124,9 +124,14 @@
 	pl.measured = pl.measured || open >= openPerUpstream*len(pl.members)
 }
 
-// load returns the number of requests that the upstream has, of flows of all kinds.
+// load returns the number of requests that the upstream has, of flows of all kinds. Flows
+// that outlast their expiry say nothing: what they bring is not known.
 func (u *upstream) load(now time.Time, pl *pool) float64 {
-	return float64(len(u.placed)) + u.work.Work(now, pl.workPerFlow)
+	placed := len(u.placed)
+	if pl.hasLongLived {
+		placed = u.countWorking(pl)
+	}
+	return float64(placed) + u.work.Work(now, pl.workPerFlow)
 }
 
 // slots returns the number of requests at once that the upstream takes well.
--- a/internal/scheduler/measured_test.go
+++ b/internal/scheduler/measured_test.go
@@ -178,3 +178,47 @@
 		t.Errorf("service time is %s for work of 20 ms, want at most 50ms", s)
 	}
 }
+
+// Once the lengths of flows that stay open have been taken for work, flows end before they
+// expire, and nothing tells that they do stay open. That must not last: the target says how
+// long work takes at most.
+func TestLengthOfOpenFlowsIsNotTakenForWorkForGood(t *testing.T) {
+	p := newMeasured(2)
+	for _, u := range p.upstreams {
+		u.serviceTime, u.lastPlacement = 1500*time.Millisecond, at(0)
+	}
+	full := 0
+	var upstreams []uint64
+	for n := range uint64(400) {
+		now := at(time.Duration(n) * 25 * time.Millisecond)
+		if n >= 60 {
+			p.FlowEnded(now, upstreams[n-60], n-60)
+		}
+		number, verdict := p.Place(now, Request{Service: desk, Flow: n, Target: 100 * time.Millisecond, Bounded: true})
+		upstreams = append(upstreams, number)
+		if verdict == Full && n >= 200 {
+			full++
+		}
+	}
+	if full > 0 {
+		t.Errorf("%d of 200 flows found no room at upstreams with nothing to do", full)
+	}
+}
+
+// Heads of packets may tell nothing of a flow, as its answers pass elsewhere. Flows that
+// outlast their expiry do not fill the upstreams of a measured service either.
+func TestFlowsThatOutlastExpiryDoNotFillMeasuredUpstreams(t *testing.T) {
+	p := newMeasured(2)
+	usual := 50 * time.Millisecond
+	now := reportWork(p, []float64{0.5, 0.5}, []time.Duration{usual, usual})
+	full := 0
+	for n := range uint64(400) {
+		later := now.Add(time.Duration(n) * 25 * time.Millisecond)
+		if _, verdict := p.Place(later, Request{Service: desk, Flow: n, Target: 100 * time.Millisecond, Bounded: true}); verdict == Full && n >= 100 {
+			full++
+		}
+	}
+	if full > 0 {
+		t.Errorf("%d of 300 flows found no room at upstreams with nothing to do", full)
+	}
+}
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -29,6 +29,8 @@
 	// openDuration that of later requests.
 	durations    map[Class]*speed.Reference[time.Duration]
 	openDuration speed.Reference[time.Duration]
+	// hasLongLived is true if a class has flows that outlast their expiry.
+	hasLongLived bool
 	// usualFactor is the median of how much longer requests take at upstreams whose slots
 	// are all busy.
 	usualFactor float64
@@ -122,9 +124,15 @@
 	return o != nil && o.expired > longLivedSample/4 && o.expired > longLivedRatio*o.endedInTime
 }
 
-// flowExpiry returns the time after which a flow without a reported end expires.
+// flowExpiry returns the time after which a flow without a reported end expires. Work that
+// meets its target takes no longer than that: the lengths of flows that stay open must not
+// be taken for work for good, once some of them have been.
 func (pl *pool) flowExpiry() time.Duration {
-	return flowExpiryFactor * max(pl.medianServiceTime, initialServiceTime)
+	usual := max(pl.medianServiceTime, initialServiceTime)
+	if pl.maxTarget > 0 {
+		usual = min(usual, max(pl.maxTarget, initialServiceTime))
+	}
+	return flowExpiryFactor * usual
 }
 
 // updateMedian recomputes the median service time if it is out of date.
@@ -134,6 +142,10 @@
 	}
 	pl.medianAt = now
 	pl.updateMeasures(now)
+	pl.hasLongLived = false
+	for c := range pl.outcomes {
+		pl.hasLongLived = pl.hasLongLived || pl.longLived(c)
+	}
 	times := make([]time.Duration, 0, len(pl.members))
 	for _, u := range pl.members {
 		if u.serviceTime > 0 {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -86,7 +86,7 @@
 	// network, so that two a slot leave slots idle. urgentPerSlot is what urgent flows may
 	// use beyond that: they do not wait behind others where order cannot be changed.
 	measuredPerSlot = 3
-	urgentPerSlot   = 1
+	urgentPerSlot   = 1.5
 	// bulkPerSlot is the number of bulk flows that share a slot: transferring the
 	// response takes several times as long as the work.
 	bulkPerSlot = 8
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -156,13 +156,19 @@
 	if pl.longLived(c) || len(u.placed) < boundPerSlot*slots+1 {
 		return false
 	}
+	return u.countWorking(pl) >= boundPerSlot*slots+1
+}
+
+// countWorking returns the number of placed flows of classes that do not outlast their
+// expiry.
+func (u *upstream) countWorking(pl *pool) int {
 	n := 0
 	for _, f := range u.placed {
 		if !pl.longLived(f.class) {
 			n++
 		}
 	}
-	return n >= boundPerSlot*slots+1
+	return n
 }
 
 // endFlow stops tracking a flow and returns it. The end of an untracked flow is kept
--- a/internal/tokenrouter/admission.go
+++ b/internal/tokenrouter/admission.go
@@ -8,9 +8,74 @@
 	"github.com/chervilhaven/chervilhaven/internal/catalog"
 )
 
-// refusalInterval is the time between two searches for waiting flows that have to be
-// refused.
-const refusalInterval = 100 * time.Millisecond
+const (
+	// refusalInterval is the time between two searches for waiting flows that have to be
+	// refused.
+	refusalInterval = 100 * time.Millisecond
+	// roomShortPeriod is how long a service counts as having no room after a flow had to
+	// wait for it.
+	roomShortPeriod = time.Second
+	// busyCoordinatorTimeout is the time without any message after which a coordinator that
+	// leaves asks unanswered while there is no room is taken for silent, not for busy.
+	busyCoordinatorTimeout = 500 * time.Millisecond
+)
+
+// room is what this instance knows of the room of services whose work is measured.
+type room struct {
+	// shortAt holds the times at which flows of this instance last had to wait.
+	shortAt map[string]time.Time
+	// throttles hold back flows that would ask for room that is not there.
+	throttles map[string]*admission.Throttle
+}
+
+func (rt *Router) noteRoomShort(now time.Time, service string) { rt.room.shortAt[service] = now }
+
+// roomShort reports whether flows of a service had to wait for room lately.
+func (rt *Router) roomShort(now time.Time, service string) bool {
+	at, ok := rt.room.shortAt[service]
+	return ok && rt.scheduler.Measured(service) && now.Sub(at) < roomShortPeriod
+}
+
+func (rt *Router) throttleOf(service string) *admission.Throttle {
+	t := rt.room.throttles[service]
+	if t == nil {
+		t = &admission.Throttle{}
+		rt.room.throttles[service] = t
+	}
+	return t
+}
+
+// urgent reports whether a route is more urgent than others of its service.
+func (rt *Router) urgent(r *catalog.Route) bool { return r.Priority < rt.leastUrgent[r.Service] }
+
+// holdsBack reports whether an opening must not ask for room now, because there is none and
+// too many ask for it. Urgent ones always may.
+func (rt *Router) holdsBack(now time.Time, o *opening) bool {
+	if len(o.tries) > 0 {
+		return false
+	}
+	t := rt.throttleOf(o.route.Service)
+	t.Requested(now)
+	return rt.roomShort(now, o.route.Service) && !rt.urgent(&o.route) && rt.random.Float64() < t.Excess()
+}
+
+// hold lets an opening wait for its caller's next packet before it asks for room. After the
+// last one it is refused, unless too many are: the caller would come back at once.
+func (rt *Router) hold(now time.Time, o *opening) {
+	if now.Sub(o.opened) >= secondRetransmit && rt.throttleOf(o.route.Service).Refuse(now) && rt.refuseWaiting(o) {
+		return
+	}
+	rt.counts.Held++
+	o.queued, o.held, o.phaseDeadline = true, true, now.Add(queueRecheckInterval)
+	rt.scheduleTick(o.phaseDeadline)
+}
+
+// asksAgain reports whether a waiting opening asks for room again when its caller repeats
+// its packet. While there is no room, a flow that waits at its coordinator and is not urgent
+// is asked for again with the second repetition only.
+func (rt *Router) asksAgain(now time.Time, o *opening) bool {
+	return o.held || rt.urgent(&o.route) || !rt.roomShort(now, o.route.Service) || now.Sub(o.opened) >= secondRetransmit
+}
 
 // leastUrgent returns the priority of the least urgent route of each service.
 func leastUrgent(routes []catalog.Route) map[string]int {
--- a/internal/tokenrouter/choose.go
+++ b/internal/tokenrouter/choose.go
@@ -14,10 +14,8 @@
 	// askTimeout is the time allowed for the coordinator's answer: two one-way
 	// trips between data centres, plus scheduling delay on a busy processor.
 	askTimeout = 8 * time.Millisecond
-	// askTimeoutWithoutRoom is that time while upstreams have no room, as of
-	// roomShortPeriod ago at most.
+	// askTimeoutWithoutRoom is that time while there is no room.
 	askTimeoutWithoutRoom = 40 * time.Millisecond
-	roomShortPeriod       = time.Second
 )
 
 // choose requests the next upstream for an opening from the coordinator of its
@@ -30,23 +28,26 @@
 	c := rt.coordinator(now, o.route.Service, o.group)
 	rt.handOffGroup(now, group{o.route.Service, o.group}, c)
 	o.phase, o.coordinator = asking, c
+	if rt.holdsBack(now, o) {
+		rt.hold(now, o)
+		return
+	}
 	rt.openings.pendingAsks[o.flow] = o
 	ask := rt.newAsk(now, o)
 	if c == nil {
 		rt.chooseLocally(now, o, &ask)
 		return
 	}
-	o.phaseDeadline = now.Add(rt.askTimeout(now, c, o.route.Service))
+	o.phaseDeadline = now.Add(rt.askTimeout(now, o.route.Service))
 	m := rt.messageTo(c)
 	m.Asks = append(m.Asks, ask)
 	rt.scheduleTick(o.phaseDeadline)
 }
 
-// askTimeout returns the time allowed for the answer of a coordinator. While its
-// upstreams have no room, an instance that places flows by itself would only pass by those
-// that wait.
-func (rt *Router) askTimeout(now time.Time, c *peer, service string) time.Duration {
-	if rt.scheduler.Measured(service) && now.Sub(c.roomShortAt) < roomShortPeriod {
+// askTimeout returns the time allowed for the answer of a coordinator. While there is no
+// room, an instance that places flows by itself would only pass by those that wait.
+func (rt *Router) askTimeout(now time.Time, service string) time.Duration {
+	if rt.roomShort(now, service) {
 		return askTimeoutWithoutRoom
 	}
 	return askTimeout
@@ -85,6 +86,7 @@
 	number, verdict := rt.allocate(now, nil, a.Flow, t)
 	switch verdict {
 	case scheduler.Full:
+		rt.noteRoomShort(now, o.route.Service)
 		o.phase, o.queued, o.phaseDeadline = asking, true, now.Add(queueRecheckInterval)
 		rt.scheduleTick(o.phaseDeadline)
 		if now.Equal(o.firstSeen) {
@@ -129,7 +131,10 @@
 // offer forwards an opening to an upstream and starts the hedging timer.
 func (rt *Router) offer(now time.Time, o *opening, number uint64) {
 	u := rt.upstreams.byNumber[number]
-	o.phase, o.offered, o.phaseDeadline = offered, now, now.Add(rt.openings.hedgeDelay()<<len(o.tries))
+	if len(o.tries) == 0 {
+		rt.throttleOf(o.route.Service).Placed(now)
+	}
+	o.phase, o.held, o.offered, o.phaseDeadline = offered, false, now, now.Add(rt.openings.hedgeDelay()<<len(o.tries))
 	o.tries, o.offers = append(o.tries, number), append(o.offers, now)
 	if len(o.tries) == 1 {
 		o.firstOffered = now
--- a/internal/tokenrouter/coordination.go
+++ b/internal/tokenrouter/coordination.go
@@ -246,7 +246,7 @@
 		return
 	}
 	if g.Queued {
-		p.roomShortAt = now
+		rt.noteRoomShort(now, o.route.Service)
 		o.phaseDeadline = now.Add(queueRecheckInterval)
 		rt.scheduleTick(o.phaseDeadline)
 		o.queued = true
@@ -322,11 +322,16 @@
 	}
 	delete(rt.openings.pendingAsks, o.flow)
 	rt.counts.UnansweredAsks++
-	if o.coordinator != nil {
+	short := rt.roomShort(now, o.route.Service)
+	if o.coordinator != nil && (!short || now.Sub(o.coordinator.heard) >= busyCoordinatorTimeout) {
 		if o.coordinator.missedAsks++; o.coordinator.missedAsks == maxMissedAsks {
 			rt.log("accountant-silent", "peer", o.coordinator.address.String(), "service", o.route.Service)
 		}
 	}
+	if short && !rt.urgent(&o.route) && len(o.tries) == 0 {
+		rt.hold(now, o)
+		return
+	}
 	rt.chooseWithoutCoordinator(now, o)
 }
 
--- a/internal/tokenrouter/count.go
+++ b/internal/tokenrouter/count.go
@@ -12,6 +12,9 @@
 	Refused uint64 `json:"refused"`
 	// RefusedWithoutRoom counts those of them that no upstream could have answered in time.
 	RefusedWithoutRoom uint64 `json:"refused-without-room"`
+	// Held counts openings that waited for their caller's next packet before they asked for
+	// room that was not there.
+	Held uint64 `json:"held-back"`
 	// Reset counts open flows that were reset because their upstream was out of reach.
 	Reset uint64 `json:"reset"`
 	// Ejected counts upstreams that got trial flows only because their answers came too
--- a/internal/tokenrouter/opening.go
+++ b/internal/tokenrouter/opening.go
@@ -125,6 +125,9 @@
 	hasGroup bool
 	// queued is true while the flow waits for a free slot at an upstream.
 	queued bool
+	// held is true while the flow waits for its caller's next packet, because there is no
+	// room and too many ask for it.
+	held bool
 }
 
 // openings holds the flows that are being opened.
@@ -283,7 +286,7 @@
 			rt.hedge(now, o)
 		}
 	case asking:
-		if o.queued {
+		if o.queued && rt.asksAgain(now, o) {
 			rt.choose(now, o)
 		}
 	case opened, seeking, waiting:
@@ -293,8 +296,8 @@
 // handleAckTimeout handles an opening that was not acknowledged in time. After
 // an instance joins, the fabric redistributes flows and acknowledgements may
 // pass through other instances, so a missing one does not count against the
-// upstream. Shortly after the start of this instance, hedging would only add
-// load, so it waits for the caller instead.
+// upstream. Shortly after the start of this instance, and while there is no room,
+// hedging would only add load, so it waits for the caller instead.
 func (rt *Router) handleAckTimeout(now time.Time, o *opening) {
 	last := o.tries[len(o.tries)-1]
 	if now.Sub(rt.openings.lastAck) < recentAckWindow && now.Sub(rt.roster.lastJoin) >= rehashWindow {
@@ -303,7 +306,7 @@
 		}
 		rt.report(now, o.route.Service, Report{Upstream: last, Unanswered: []uint64{o.flow}})
 	}
-	if rt.startingUp(now) {
+	if rt.startingUp(now) || rt.roomShort(now, o.route.Service) {
 		o.phaseDeadline = o.opened.Add(openTimeout)
 		rt.scheduleTick(o.phaseDeadline)
 		return
--- a/internal/tokenrouter/roster.go
+++ b/internal/tokenrouter/roster.go
@@ -116,9 +116,7 @@
 	fetchFailedAt time.Time
 	// missedAsks counts consecutive unanswered Asks, missedProbes consecutive
 	// unanswered probes.
-	missedAsks int
-	// roomShortAt is when it last let a flow wait for a free slot.
-	roomShortAt  time.Time
+	missedAsks   int
 	missedProbes int
 	// rank is its rank for reading the store, see rankOf.
 	rank uint64
--- a/internal/tokenrouter/router.go
+++ b/internal/tokenrouter/router.go
@@ -51,6 +51,7 @@
 	routes    map[netip.AddrPort]catalog.Route
 	// leastUrgent holds the priority of the least urgent route of each service.
 	leastUrgent map[string]int
+	room        room
 	// out holds the names of the data centres that operators took out of service.
 	// Their upstreams get no new flows.
 	out map[string]bool
@@ -96,6 +97,7 @@
 	rt.coordination.lastCoordinators = make(map[group]*peer)
 	rt.coordination.refusals = make(map[group]*admission.Refusals)
 	rt.stuck = newStuckFlows()
+	rt.room = room{shortAt: make(map[string]time.Time), throttles: make(map[string]*admission.Throttle)}
 	rt.pins, rt.earlyDoubts = newPins(), make(map[uint64]scheduler.Doubt)
 	rt.openings.flows = make(map[flowID]*opening)
 	rt.openings.pendingAsks = make(map[uint64]*opening)
--- a/internal/tokenrouter/work_test.go
+++ b/internal/tokenrouter/work_test.go
@@ -133,6 +133,36 @@
 	}
 }
 
+// Three times the room is asked for on new flows, most of it by the patient class. The urgent
+// class is still served in time, and coordinators are not asked more often than they can
+// answer: the rest waits at the instances, and is refused where its caller has no more
+// packets to send.
+func TestRequestsForRoomAreHeldBackUnderPressure(t *testing.T) {
+	w := newSessionFleet(t, 325)
+	w.sessions(60, 500*time.Millisecond, 2*time.Second)
+	w.asksSent = 0
+	urgent := w.loadTo(urgentRoute, 180, 4*time.Second)
+	patient := w.loadTo(patientRoute, 1800, 4*time.Second)
+	w.advance(6 * time.Second)
+	if share := shareWithin(*urgent, 400*time.Millisecond); share < 0.95 {
+		t.Errorf("%.3f of %d urgent requests were answered in time, want 0.95", share, len(*urgent))
+	}
+	if share := shareWithin(*patient, 300*time.Millisecond); share < 0.15 {
+		t.Errorf("%.3f of %d patient requests were answered in time, want 0.15", share, len(*patient))
+	}
+	var held, refused uint64
+	for _, n := range w.nodes {
+		held, refused = held+n.router.Counts().Held, refused+n.router.Counts().RefusedWithoutRoom
+	}
+	// Each flow has three packets, and five of six flows are asked for at another instance.
+	if most := 3 * len(*patient) * 5 / 6 / 2; w.asksSent > most {
+		t.Errorf("coordinators were asked %d times, want at most %d", w.asksSent, most)
+	}
+	if held == 0 || refused == 0 || refused > uint64(len(*patient)/10) {
+		t.Errorf("%d openings were held back and %d refused, want some, and at most a tenth refused", held, refused)
+	}
+}
+
 // Flows of a single request, and configurations that do not let flows stay open between
 // requests: every flow goes where it went before.
 func TestFlowsThatCloseAreNotMeasured(t *testing.T) {
--- a/internal/work/flows.go
+++ b/internal/work/flows.go
@@ -79,6 +79,8 @@
 	// requests counts the requests. The first one counts even if it has passed through
 	// another instance.
 	requests int
+	// answers counts the answers that passed this instance.
+	answers int
 	// reported is true once the coordinator knows that the flow is idle.
 	reported bool
 	// kept is true once the flow has stayed open after its first request.
@@ -225,7 +227,9 @@
 	if f.requests++; f.requests == 1 {
 		return Began
 	}
-	s.keep(now, f)
+	if f.answers > 0 {
+		s.keep(now, f)
+	}
 	f.counted = true
 	s.meter(now, f.upstream).add(now, 1)
 	return BeganNext
@@ -239,6 +243,7 @@
 	}
 	s.usual += time.Duration(usualGain * float64(took-s.usual))
 	f.began = time.Time{}
+	f.answers++
 	f.answer.took, f.answer.pending = took, true
 	if f.requests == 1 {
 		f.answeredAt = now
