Release the work of flows that end while they are not counted as kept open

Since a flow counts as kept open once an answer has passed; Close released the request under way of kept flows only.

TestEndedFlowsLeaveNoWork fails in six of its cases without the change.

--- a/internal/work/flows.go
+++ b/internal/work/flows.go
@@ -292,13 +292,14 @@
 	}
 	delete(s.flows, id)
 	s.settle(now, &f)
-	if !f.kept {
-		return f.reported
+	if f.counted {
+		s.meter(now, f.upstream).release(now, &f)
+	}
+	if f.kept {
+		m := s.meter(now, f.upstream)
+		m.total.Open--
+		m.changed = true
 	}
-	m := s.meter(now, f.upstream)
-	m.release(now, &f)
-	m.total.Open--
-	m.changed = true
 	return f.reported
 }
 
--- a/internal/work/flows_test.go
+++ b/internal/work/flows_test.go
@@ -186,3 +186,46 @@
 		t.Errorf("%d further answers of upstream %d came too soon, want 0", total.Early, total.Upstream)
 	}
 }
+
+// However a flow ends, the request that was under way in it is no longer counted: it was seen
+// in its midst, its answer came or did not, its caller closed it, opened it anew or fell silent,
+// or it went on at another upstream.
+func TestEndedFlowsLeaveNoWork(t *testing.T) {
+	request := Head{Sequence: 100, Length: 50, Acknowledgement: 900}
+	next := Head{Sequence: 150, Length: 50, Acknowledgement: 1900}
+	for name, begin := range map[string]func(s *Flows){
+		"first request": func(s *Flows) { s.Observe(at(0), 1, 7, route, true, request) },
+		"seen in its midst": func(s *Flows) {
+			s.Observe(at(0), 1, 7, route, false, Head{})
+			s.Observe(at(0), 1, 7, route, false, request)
+		},
+		"seen in its midst, at once": func(s *Flows) { s.Observe(at(0), 1, 7, route, false, request) },
+		"second request": func(s *Flows) {
+			s.Observe(at(0), 1, 7, route, true, request)
+			s.Observe(at(10*ms), 1, 7, route, false, next)
+		},
+	} {
+		for end, finish := range map[string]func(s *Flows){
+			"closed":         func(s *Flows) { s.Close(at(50*ms), 1) },
+			"abandoned":      func(s *Flows) { s.Sweep(at(10*time.Second), time.Minute) },
+			"forgotten":      func(s *Flows) { s.Sweep(at(2*time.Minute), time.Minute) },
+			"other upstream": func(s *Flows) { s.Observe(at(50*ms), 1, 8, route, false, Head{Sequence: 300, Acknowledgement: 3000}) },
+			"answered, closed": func(s *Flows) {
+				s.Observe(at(50*ms), 1, 7, route, false, Head{Sequence: 200, Acknowledgement: 2900})
+				s.Close(at(60*ms), 1)
+			},
+			"abandoned, closed": func(s *Flows) { s.Sweep(at(10*time.Second), time.Minute); s.Close(at(11*time.Second), 1) },
+		} {
+			t.Run(name+", "+end, func(t *testing.T) {
+				var s Flows
+				begin(&s)
+				finish(&s)
+				for number, m := range s.meters {
+					if m.total.UnderWay != 0 {
+						t.Errorf("%d requests are under way at upstream %d, want 0", m.total.UnderWay, number)
+					}
+				}
+			})
+		}
+	}
+}
