review: the planned stop of a zone's only machine resets open flows

Found from the source: the silence of a zone's instances counts as a cut of the zone, also after a planned stop, and open flows to its endpoints are reset on that word. Result: safe requests under way are reset and run again.

--- a/review/standin-2/bed.go
+++ b/review/standin-2/bed.go
@@ -36,6 +36,9 @@
 	// one, 0 for none.
 	lossEvery uint64
 	answers   atomic.Uint64
+	// long says which requests take about a second, nil for none. If it is set, endpoints
+	// acknowledge a request of one packet with its response only.
+	long func(id uint64) bool
 
 	dir       string
 	store     *store
--- a/review/standin-2/endpoint.go
+++ b/review/standin-2/endpoint.go
@@ -170,7 +170,9 @@
 			c.received += uint32(len(p.data))
 			e.request(k, c, binary.BigEndian.Uint64(p.data))
 		}
-		e.send(k, c, flagAck, c.seq+1+c.sent, c.isn+1+c.received, nil)
+		if e.bed.long == nil {
+			e.send(k, c, flagAck, c.seq+1+c.sent, c.isn+1+c.received, nil)
+		}
 	}
 	if p.flag&flagFin != 0 {
 		e.send(k, c, flagFin|flagAck, c.seq+1+c.sent, p.seq+1, nil)
@@ -184,7 +186,11 @@
 	run := func() {
 		e.busy++
 		e.bed.judge.ran(id, e)
-		time.AfterFunc(15*time.Millisecond+rand.N(30*time.Millisecond), func() {
+		took := between(15*time.Millisecond, 45*time.Millisecond)
+		if e.bed.long != nil && e.bed.long(id) {
+			took = between(800*time.Millisecond, 1200*time.Millisecond)
+		}
+		time.AfterFunc(took, func() {
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			e.busy--
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -41,7 +41,7 @@
 		os.Exit(exitNotRun)
 	}
 	cases := map[string]func() (*bed, error){
-		"freeze": freeze, "resync": resync, "single": single, "killall": killAll, "hup": hup,
+		"freeze": freeze, "resync": resync, "single": single, "zone": zone, "killall": killAll, "hup": hup,
 	}
 	play, ok := cases[os.Args[1]]
 	if !ok {
@@ -241,3 +241,39 @@
 	time.Sleep(6 * time.Second)
 	return b, nil
 }
+
+// zone: the only machine of a zone is stopped and started, as planned, in a deployment of seven
+// machines. It is a quiet hour, and safe requests take about a second at their endpoints.
+func zone() (*bed, error) {
+	b, err := newBed([]zonePlan{{"z1", 2, 4}, {"z2", 2, 4}, {"z3", 2, 3}, {"z4", 1, 3}}, "safe", 5*time.Second)
+	if err != nil {
+		return b, err
+	}
+	b.long, b.judge.planned = func(uint64) bool { return true }, true
+	if err := b.startAll(); err != nil {
+		return b, err
+	}
+	think := func() []time.Duration {
+		pause := func() time.Duration { return between(1*time.Second, 3*time.Second) }
+		return []time.Duration{pause(), pause(), pause()}
+	}
+	for _, z := range []string{"z1", "z2", "z3"} {
+		go b.traffic(z, 1, 20*time.Second, think)
+	}
+	go b.traffic("z4", 1, 20*time.Second, think)
+	time.Sleep(10 * time.Second)
+	if trouble {
+		i := b.instances[len(b.instances)-1]
+		b.record.event("%s gets SIGTERM", i.name)
+		i.signal(syscall.SIGTERM)
+		state := i.waitEnd(6 * time.Second)
+		b.record.event("%s has ended: %v", i.name, state)
+		time.Sleep(2 * time.Second)
+		if err := i.start(); err != nil {
+			return b, err
+		}
+		b.record.event("%s is started", i.name)
+	}
+	time.Sleep(14 * time.Second)
+	return b, nil
+}
