--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -157,7 +157,7 @@
 	for _, zone := range []string{"z1", "z2", "z3"} {
 		go b.traffic(zone, 10, 12*time.Second, think)
 	}
-	go b.traffic("z4", 80, 6*time.Second, think)
+	go b.traffic("z4", 140, 6*time.Second, think)
 	time.Sleep(7 * time.Second)
 	if trouble {
 		i := b.instances[len(b.instances)-1]
