tokenrouter: correct the answers of upstreams at which a flow is not open

Cause: an upstream whose first answer was lost repeats it with the token that it got, its own. The caller's packets carry that token from then on; that the flow is open at the second upstream was known in memory only.

Ruled out: the new processes place no such flow anew.

Change: once it is known where a flow is open, the other upstreams get its opening packet again with the token of its own upstream, twice. Their answers carry it, so that the state lies in the packets and no process has to know it. Upstreams that must not get new flows are left alone. The upstreams of the router's tests answer copies as upstreams do: once, and with the last token of the flow.

--- a/internal/tokenrouter/caller_test.go
+++ b/internal/tokenrouter/caller_test.go
@@ -24,6 +24,9 @@
 	busy      int
 	queue     []func()
 	flows     map[string]bool
+	// halfOpen holds the tokens of flows whose opening packets were answered. An answer
+	// carries the token of the last one.
+	halfOpen map[string]token.Token
 	// opened holds the flows that were ever open here.
 	opened map[string]bool
 	// asked holds the numbers of bytes of requests of each session.
@@ -76,7 +79,13 @@
 		if r, ok := n.router.routes[c.destination]; ok && r.Service != u.info.Service {
 			u.misplaced++
 		}
-		u.answerOpening(c, t, firstRetransmit, 0)
+		_, copied := u.halfOpen[key]
+		u.halfOpen[key] = t
+		if copied {
+			u.sendOpenAnswer(c)
+			return
+		}
+		u.answerOpening(c, firstRetransmit, 0)
 	case flow.RoleData:
 		if c.openedUpstream != number {
 			u.misrouted++
@@ -101,19 +110,28 @@
 
 // answerOpening answers an opening packet, and again until the flow opens here or the
 // server gives up.
-func (u *server) answerOpening(c *caller, t token.Token, pause time.Duration, repetitions int) {
+func (u *server) answerOpening(c *caller, pause time.Duration, repetitions int) {
 	const maxPause, maxRepetitions = 1600 * time.Millisecond, 8
-	u.w.after(callerDelay, func() { c.handleOpenAnswer(u, t) })
+	u.sendOpenAnswer(c)
 	if repetitions == maxRepetitions {
 		return
 	}
 	u.w.after(pause, func() {
 		if u.alive && !u.opened[c.source.String()] {
-			u.answerOpening(c, t, min(2*pause, maxPause), repetitions+1)
+			u.answerOpening(c, min(2*pause, maxPause), repetitions+1)
 		}
 	})
 }
 
+// sendOpenAnswer answers an opening packet once, with the last token of the flow.
+func (u *server) sendOpenAnswer(c *caller) {
+	t := u.halfOpen[c.source.String()]
+	if u.w.lostOpenAnswers > 0 && u.w.random.Float64() < u.w.lostOpenAnswers {
+		return
+	}
+	u.w.after(callerDelay, func() { c.handleOpenAnswer(u, t) })
+}
+
 // serve processes a request as soon as a slot is free. If 8 requests are queued
 // already, the server sheds it with an immediate answer.
 func (u *server) serve(c *caller, t token.Token) {
--- a/internal/tokenrouter/count.go
+++ b/internal/tokenrouter/count.go
@@ -8,6 +8,9 @@
 	Hedged uint64 `json:"hedged"`
 	// Pinned counts flows that stay at one upstream whatever token they carry.
 	Pinned uint64 `json:"pinned"`
+	// Corrected counts copies of opening packets that correct the answers of upstreams at
+	// which the flow is not open.
+	Corrected uint64 `json:"corrected"`
 	// Refused counts openings that were reset.
 	Refused uint64 `json:"refused"`
 	// RefusedWithoutRoom counts those of them that no upstream could have answered in time.
--- a/internal/tokenrouter/opening.go
+++ b/internal/tokenrouter/opening.go
@@ -194,6 +194,7 @@
 	rt.observeWork(now, hash, u.info.Number, o != nil, p)
 	if p.Role == flow.RoleClose || p.Role == flow.RoleReset {
 		rt.pins.forgetSeen(hash)
+		rt.pins.forgetOpening(hash)
 		rt.finishFlow(now, hash, u.info.Number)
 	}
 }
@@ -336,6 +337,7 @@
 func (rt *Router) expireOpenings(now time.Time) {
 	rt.flushReports(now)
 	rt.flushPins(now)
+	rt.repeatCorrections(now)
 	for id, o := range rt.openings.flows {
 		if now.Before(o.phaseDeadline) {
 			rt.scheduleTick(o.phaseDeadline)
--- a/internal/tokenrouter/pin.go
+++ b/internal/tokenrouter/pin.go
@@ -1,6 +1,7 @@
 package tokenrouter
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chervilhaven/chervilhaven/internal/scheduler"
@@ -57,11 +58,16 @@
 	// are.
 	unsent  []Pin
 	flushAt time.Time
+	// corrections are the second copies of opening packets that are due, oldest first.
+	corrections []correction
 }
 
+// pin is the upstream at which a flow is open. opening is its opening if this instance sent
+// it to other upstreams, too, and nil after the flow was closed.
 type pin struct {
 	upstream uint64
 	since    time.Time
+	opening  *opening
 }
 
 func newPins() pins {
@@ -131,16 +137,28 @@
 	}
 }
 
+// forgetOpening drops the opening of a flow that its caller has closed.
+func (s *pins) forgetOpening(flow uint64) {
+	if p, ok := s.held[flow]; ok && p.opening != nil {
+		p.opening = nil
+		s.held[flow] = p
+	}
+}
+
 // upstreamOf returns the upstream of an established flow whose opening is not held
 // here.
 func (rt *Router) upstreamOf(now time.Time, flow uint64, p *Packet) (*upstream, bool) {
 	s := &rt.pins
-	if held, ok := s.held[flow]; ok {
-		if u, ok := rt.upstreams.byNumber[held.upstream]; ok {
-			return u, true
+	u, ok := rt.upstreams.byToken[p.Token]
+	if held, pinned := s.held[flow]; pinned {
+		if own, known := rt.upstreams.byNumber[held.upstream]; known {
+			if held.opening != nil && ok && u != own && slices.Contains(held.opening.tries, u.info.Number) {
+				// The copies that corrected its answers are lost.
+				rt.correctAnswersOf(held.opening, held.upstream, u.info.Number)
+			}
+			return own, true
 		}
 	}
-	u, ok := rt.upstreams.byToken[p.Token]
 	if !ok {
 		return nil, false
 	}
@@ -168,7 +186,18 @@
 		return
 	}
 	rt.counts.Pinned++
-	rt.pins.held[flow] = pin{number, now}
+	rt.pins.held[flow] = pin{upstream: number, since: now}
+}
+
+// pinOpening pins a flow whose opening was sent to several upstreams, and corrects the
+// answers of those that it is not open at.
+func (rt *Router) pinOpening(now time.Time, o *opening, number uint64) {
+	rt.pin(now, o.flow, number)
+	if p, ok := rt.pins.held[o.flow]; ok {
+		p.opening = o
+		rt.pins.held[o.flow] = p
+	}
+	rt.correctAnswers(now, o, number)
 }
 
 // spreadPin tells the neighbours about a pinned flow.
@@ -257,7 +286,7 @@
 	}
 	if o.phase == opened {
 		delete(rt.openings.flows, o.id)
-		rt.pin(now, p.Flow, p.Upstream)
+		rt.pinOpening(now, o, p.Upstream)
 		return
 	}
 	rt.flowLog("opened-elsewhere", o.id, "upstream", rt.keysOf([]uint64{p.Upstream}), "tries", rt.keysOf(o.tries), "after", now.Sub(o.firstSeen).String())
@@ -275,7 +304,7 @@
 	rt.recordOpened(now, o, number)
 	delete(rt.openings.flows, o.id)
 	if len(o.tries) > 1 || len(o.tries) == 1 && o.tries[0] != number {
-		rt.pin(now, o.flow, number)
+		rt.pinOpening(now, o, number)
 		rt.spreadPin(now, o.flow, number)
 	} else if o.repeated {
 		// Another instance may have sent the first opening packet elsewhere.
--- a/internal/tokenrouter/pin_test.go
+++ b/internal/tokenrouter/pin_test.go
@@ -325,3 +325,51 @@
 		t.Errorf("%d packets reached an upstream that the flow is not open at, want none", misrouted)
 	}
 }
+
+// openMany opens flows that stay open at a rate per second. One answer to an opening packet
+// in twenty is lost, so that some flows open at the second upstream that they were sent to.
+func openMany(w *world, rate int, d time.Duration, via func() *node) *[]*caller {
+	w.lostOpenAnswers = 0.05
+	list := &[]*caller{}
+	for at := time.Duration(0); at < d; at += time.Second / time.Duration(rate) {
+		w.after(at, func() {
+			c := w.call(deskRoute, via())
+			c.keepsOpen = true
+			*list = append(*list, c)
+		})
+	}
+	return list
+}
+
+// sendMore makes the open flows of a list send three packets each, as the fabric leads them.
+func (w *world) sendMore(list []*caller) (sent int) {
+	for _, c := range list {
+		if c.openedUpstream == 0 {
+			continue
+		}
+		sent++
+		c.via = nil
+		for i := range 3 {
+			w.after(time.Duration(w.random.IntN(1000)+i*1000)*time.Millisecond, func() { c.send(&Packet{Role: flow.RoleData}) })
+		}
+	}
+	w.advance(4 * time.Second)
+	return sent
+}
+
+// All instances are killed while flows are idle that opened at the second upstream that their
+// opening was sent to. The first one has repeated its answer, and nobody knows of the flow.
+func TestOpenFlowsStayAtTheirUpstreamsWhenAllInstancesAreKilled(t *testing.T) {
+	w := newSmallFleet(t, 90)
+	list := openMany(w, 100, 3*time.Second, func() *node { return nil })
+	w.advance(5 * time.Second)
+	for _, n := range w.nodes {
+		n.kill()
+		w.after(500*time.Millisecond, n.start)
+	}
+	w.advance(5 * time.Second)
+	sent := w.sendMore(*list)
+	if misrouted := w.misroutedPackets(); misrouted > 0 || sent < 290 {
+		t.Errorf("%d packets of %d flows reached an upstream that the flow is not open at, want none of 290 flows at least", misrouted, sent)
+	}
+}
--- a/internal/tokenrouter/world_test.go
+++ b/internal/tokenrouter/world_test.go
@@ -42,6 +42,9 @@
 	cutOff func(a, b *node) bool
 	// messageLoss is the share of messages between instances that are lost.
 	messageLoss float64
+	// lostOpenAnswers is the share of the upstreams' answers to opening packets that are
+	// lost.
+	lostOpenAnswers float64
 	// retries makes callers retry once on a new flow.
 	retries bool
 	// asksSent counts the Asks between instances.
@@ -311,7 +314,7 @@
 	for range count {
 		n := w.random.Uint64()
 		u := &server{
-			w: w, alive: true, meanServiceTime: work, key: fmt.Sprintf("i-%x", n), flows: make(map[string]bool), opened: make(map[string]bool), asked: make(map[string]uint32),
+			w: w, alive: true, meanServiceTime: work, key: fmt.Sprintf("i-%x", n), flows: make(map[string]bool), opened: make(map[string]bool), halfOpen: make(map[string]token.Token), asked: make(map[string]uint32),
 			info: catalog.Upstream{
 				Number: n, Service: "desk", DataCentre: dc, Slots: 2,
 				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 200, byte(len(w.upstreams)), 1}), 8000),
