tokenserver: drop opening packets that waited through a pause

Cause: opening packets that waited in the socket were taken for new ones and placed. Their callers had opened the flows through a neighbour, and the second upstream's answers changed the token that they send.

Ruled out: openings held before the pause, which are dropped. That neighbours are not asked while there is no room adds to it, and does not suffice.

Change: after a pause, packets are marked until the socket was empty once, and marked opening packets are dropped. Openings that were sent before the pause are kept, and the neighbours are asked for them. The neighbours are asked for each opening without an acknowledgement, also without room, and one that opens the flow itself answers.

Tests, all failing before: TestOpeningPacketsThatWaitedThroughPauseAreNotPlaced, TestOpeningHeldThroughPauseDoesNotMoveFlow, TestOpeningWithoutRoomDoesNotMoveFlow.

--- a/internal/tokenrouter/acknowledge.go
+++ b/internal/tokenrouter/acknowledge.go
@@ -88,7 +88,7 @@
 // was sent on the answer of one of the upstreams, so that its time tells which one.
 func (rt *Router) openedUpstream(now time.Time, o *opening, named uint64) (number uint64, certain bool) {
 	ackTime := cmp.Or(rt.openings.ackTime, initialAckTime)
-	if len(o.tries) <= 1 || now.Sub(o.offered) < ackTime || now.Sub(o.firstOffered) < certainPeriod {
+	if len(o.tries) <= 1 || o.resumed || now.Sub(o.offered) < ackTime || now.Sub(o.firstOffered) < certainPeriod {
 		return named, true
 	}
 	matches := 0
--- a/internal/tokenrouter/caller_test.go
+++ b/internal/tokenrouter/caller_test.go
@@ -32,6 +32,8 @@
 	// asked holds the numbers of bytes of requests of each session.
 	asked     map[string]uint32
 	openTimes []time.Time
+	// muted loses the answers to opening packets.
+	muted     bool
 	misrouted int
 	misplaced int
 }
@@ -126,7 +128,7 @@
 // sendOpenAnswer answers an opening packet once, with the last token of the flow.
 func (u *server) sendOpenAnswer(c *caller) {
 	t := u.halfOpen[c.source.String()]
-	if u.w.lostOpenAnswers > 0 && u.w.random.Float64() < u.w.lostOpenAnswers {
+	if u.muted || u.w.lostOpenAnswers > 0 && u.w.random.Float64() < u.w.lostOpenAnswers {
 		return
 	}
 	u.w.after(callerDelay, func() { c.handleOpenAnswer(u, t) })
--- a/internal/tokenrouter/count.go
+++ b/internal/tokenrouter/count.go
@@ -15,6 +15,8 @@
 	Refused uint64 `json:"refused"`
 	// RefusedWithoutRoom counts those of them that no upstream could have answered in time.
 	RefusedWithoutRoom uint64 `json:"refused-without-room"`
+	// DroppedAfterPause counts opening packets that waited while the process was suspended.
+	DroppedAfterPause uint64 `json:"dropped-after-pause"`
 	// Held counts openings that waited for their caller's next packet before they asked for
 	// room that was not there.
 	Held uint64 `json:"held-back"`
--- a/internal/tokenrouter/event.go
+++ b/internal/tokenrouter/event.go
@@ -26,7 +26,9 @@
 	Retransmission uint32
 	// Head holds the numbers of the bytes that the packet carries and acknowledges.
 	Head work.Head
-	Raw  []byte
+	// Waited is true if the packet may have arrived while the process was suspended.
+	Waited bool
+	Raw    []byte
 }
 
 // StoreRead is the result of a ReadStore effect: the full content of the
--- a/internal/tokenrouter/opening.go
+++ b/internal/tokenrouter/opening.go
@@ -118,6 +118,9 @@
 	offered      time.Time
 	// sought is true once the neighbours were asked for the flow.
 	sought bool
+	// resumed is true if the process was suspended since the opening was sent to an
+	// upstream: the flow may be open elsewhere, and no further upstream is tried.
+	resumed bool
 	// coordinator is the peer that the latest Ask was sent to, nil for this instance.
 	coordinator *peer
 	// group is the randomly drawn group of upstreams for the flow.
@@ -213,6 +216,11 @@
 // handleOpen handles an opening packet. o is the pending opening of the flow,
 // nil if there is none.
 func (rt *Router) handleOpen(now time.Time, id flowID, o *opening, p *Packet) {
+	if p.Waited {
+		rt.counts.DroppedAfterPause++
+		rt.flowLog("dropped-after-pause", id, "copy", strconv.FormatUint(uint64(p.Retransmission), 10))
+		return
+	}
 	if o != nil {
 		rt.handleRetransmit(now, o)
 		return
@@ -284,7 +292,7 @@
 	switch o.phase {
 	case offered:
 		if now.Sub(o.offered) >= rt.openings.hedgeDelay() {
-			rt.hedge(now, o)
+			rt.hedge(now, o, false)
 		}
 	case asking:
 		if o.queued && rt.asksAgain(now, o) {
@@ -297,8 +305,7 @@
 // handleAckTimeout handles an opening that was not acknowledged in time. After
 // an instance joins, the fabric redistributes flows and acknowledgements may
 // pass through other instances, so a missing one does not count against the
-// upstream. Shortly after the start of this instance, and while there is no room,
-// hedging would only add load, so it waits for the caller instead.
+// upstream.
 func (rt *Router) handleAckTimeout(now time.Time, o *opening) {
 	last := o.tries[len(o.tries)-1]
 	if now.Sub(rt.openings.lastAck) < recentAckWindow && now.Sub(rt.roster.lastJoin) >= rehashWindow {
@@ -307,32 +314,47 @@
 		}
 		rt.report(now, o.route.Service, Report{Upstream: last, Unanswered: []uint64{o.flow}})
 	}
-	if rt.startingUp(now) || rt.roomShort(now, o.route.Service) {
-		o.phaseDeadline = o.opened.Add(openTimeout)
-		rt.scheduleTick(o.phaseDeadline)
-		return
-	}
-	rt.hedge(now, o)
+	rt.hedge(now, o, rt.startingUp(now) || rt.roomShort(now, o.route.Service))
 }
 
 // hedge sends an unacknowledged opening to one more upstream, up to maxTries. The
 // acknowledgement may have passed through another instance, so it asks the neighbours
-// first.
-func (rt *Router) hedge(now time.Time, o *opening) {
-	if len(o.tries) >= maxTries {
-		o.phaseDeadline = o.opened.Add(openTimeout)
-		rt.scheduleTick(o.phaseDeadline)
-		return
-	}
+// first. Shortly after the start of this instance, and while there is no room, hedging
+// would only add load: with patient set, it waits for the caller's next packet after that.
+func (rt *Router) hedge(now time.Time, o *opening, patient bool) {
 	if !o.sought {
 		o.sought = true
 		if rt.seek(now, o) {
 			return
 		}
 	}
+	if patient || o.resumed || len(o.tries) >= maxTries {
+		o.phase, o.phaseDeadline = offered, o.opened.Add(openTimeout)
+		rt.scheduleTick(o.phaseDeadline)
+		return
+	}
 	rt.choose(now, o)
 }
 
+// resumeOpenings handles the openings that were held while the process was suspended. Those
+// that were sent to an upstream may be open elsewhere by now, and the neighbours are asked
+// for them. Callers repeat the packets of the others, or have given up.
+func (rt *Router) resumeOpenings(now time.Time, gap time.Duration) {
+	for id, o := range rt.openings.flows {
+		rt.cancelAsk(o)
+		if len(o.tries) == 0 {
+			delete(rt.openings.flows, id)
+			continue
+		}
+		o.opened, o.phaseDeadline = o.opened.Add(gap), o.phaseDeadline.Add(gap)
+		if o.phase == opened {
+			continue
+		}
+		o.sought, o.resumed = false, true
+		rt.hedge(now, o, true)
+	}
+}
+
 // expireOpenings sends due reports and handles openings whose phase timed out.
 func (rt *Router) expireOpenings(now time.Time) {
 	rt.flushReports(now)
@@ -353,7 +375,7 @@
 		case o.phase == offered:
 			rt.handleAckTimeout(now, o)
 		case o.phase == seeking:
-			rt.choose(now, o)
+			rt.hedge(now, o, rt.startingUp(now) || rt.roomShort(now, o.route.Service))
 		case o.phase == waiting:
 			o.phaseDeadline = o.opened.Add(openTimeout)
 		}
--- a/internal/tokenrouter/pin.go
+++ b/internal/tokenrouter/pin.go
@@ -264,7 +264,11 @@
 // handleSeek answers a neighbour that seeks a flow, at once if packets of the flow were
 // seen, otherwise when the first one is.
 func (rt *Router) handleSeek(now time.Time, p *peer, s Seek) {
-	if number, ok := rt.pins.lookUp(now, s.Flow); ok {
+	number, ok := rt.pins.lookUp(now, s.Flow)
+	if !ok {
+		number, ok = rt.work.flows.Upstream(s.Flow)
+	}
+	if ok {
 		m := rt.messageTo(p)
 		m.Pins = append(m.Pins, Pin{Flow: s.Flow, Upstream: number})
 		return
@@ -303,13 +307,18 @@
 func (rt *Router) closeOpening(now time.Time, o *opening, number uint64) {
 	rt.recordOpened(now, o, number)
 	delete(rt.openings.flows, o.id)
-	if len(o.tries) > 1 || len(o.tries) == 1 && o.tries[0] != number {
+	_, sought := rt.pins.sought[o.flow]
+	hedged := len(o.tries) > 1 || len(o.tries) == 1 && o.tries[0] != number
+	switch {
+	case hedged:
 		rt.pinOpening(now, o, number)
-		rt.spreadPin(now, o.flow, number)
-	} else if o.repeated {
+	case o.repeated || sought:
 		// Another instance may have sent the first opening packet elsewhere.
 		rt.pin(now, o.flow, number)
 	}
+	if hedged || sought {
+		rt.spreadPin(now, o.flow, number)
+	}
 }
 
 // openUpstream returns the upstream of a flow that is known to be open when a copy of
--- a/internal/tokenrouter/pin_test.go
+++ b/internal/tokenrouter/pin_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/chervilhaven/chervilhaven/internal/token"
 	"github.com/chervilhaven/chervilhaven/pkg/flow"
 )
 
@@ -299,7 +300,7 @@
 // forgotten, the caller sends the token of an upstream that answered later.
 func TestFlowStaysAtItsUpstreamWhenSeekIsLost(t *testing.T) {
 	w := newSmallFleet(t, 88)
-	w.configureSessions(2, idleTimeout)
+	w.configureSessions(idleTimeout)
 	w.advance(time.Second)
 	opening, other := w.nodes[0], w.nodes[1]
 	c := w.call(deskRoute, opening)
@@ -373,3 +374,77 @@
 		t.Errorf("%d packets of %d flows reached an upstream that the flow is not open at, want none of 290 flows at least", misrouted, sent)
 	}
 }
+
+// checkAnswers checks that all upstreams that got the opening packet answer with the token of
+// the one at which the flow is open, so that every instance forwards the flow there.
+func (c *caller) checkAnswers(t *testing.T) {
+	t.Helper()
+	for _, u := range c.w.servers() {
+		if answer, ok := u.halfOpen[c.source.String()]; ok && answer != token.Of(c.openedUpstream) {
+			t.Errorf("%s answers with a token of an upstream that the flow is not open at", u.key)
+		}
+	}
+}
+
+// offerAndSuspend opens a flow whose opening packet an instance sends to one upstream before it
+// is suspended. The upstream's first answers are lost, and the flow opens at another upstream
+// through a neighbour.
+func offerAndSuspend(t *testing.T, w *world, suspended, neighbour *node) *caller {
+	t.Helper()
+	c, o := offerOnce(t, w, suspended)
+	first := w.upstreams[o.tries[0]]
+	first.muted, suspended.up = true, false
+	for _, n := range w.nodes {
+		clear(n.router.coordination.assignment)
+	}
+	c.via = neighbour
+	w.advance(300 * time.Millisecond)
+	first.muted = false
+	w.advance(1700 * time.Millisecond)
+	if c.openedUpstream == 0 || c.openedUpstream == o.tries[0] {
+		t.Fatal("the flow did not open at another upstream")
+	}
+	return c
+}
+
+// An instance is suspended after it has sent an opening packet to an upstream. When it wakes it
+// learns from its neighbours where the flow is open, and the upstream's answers must not lead
+// the flow away from there.
+func TestOpeningHeldThroughPauseDoesNotMoveFlow(t *testing.T) {
+	w := newSmallFleet(t, 91)
+	c := offerAndSuspend(t, w, w.nodes[0], w.nodes[1])
+	w.nodes[0].up = true
+	w.nodes[0].apply(&Resumed{Pause: 2 * time.Second})
+	w.advance(8 * time.Second)
+	c.checkAnswers(t)
+}
+
+// An instance whose service has no room sends no opening to a second upstream. It still has to
+// ask whether the flow is open, because the first upstream's answers may lead it astray.
+func TestOpeningWithoutRoomDoesNotMoveFlow(t *testing.T) {
+	w := newSmallFleet(t, 92)
+	w.configureSessions(idleTimeout)
+	w.sessions(20, 400*time.Millisecond, time.Second)
+	n, neighbour := w.nodes[0], w.nodes[1]
+	c, o := offerOnce(t, w, n)
+	first := w.upstreams[o.tries[0]]
+	first.muted = true
+	for range 10 {
+		n.router.noteRoomShort(w.now, "desk")
+		w.advance(15 * time.Millisecond)
+	}
+	if len(o.tries) != 1 || !n.router.roomShort(w.now, "desk") {
+		t.Fatal("the opening was sent to a second upstream")
+	}
+	for _, n := range w.nodes {
+		clear(n.router.coordination.assignment)
+	}
+	c.via = neighbour
+	w.advance(180 * time.Millisecond)
+	first.muted = false
+	w.advance(8 * time.Second)
+	if c.openedUpstream == 0 || c.openedUpstream == o.tries[0] {
+		t.Fatal("the flow did not open at another upstream")
+	}
+	c.checkAnswers(t)
+}
--- a/internal/tokenrouter/router.go
+++ b/internal/tokenrouter/router.go
@@ -196,7 +196,6 @@
 
 // handlePause shifts the liveness timestamps of peers and data centres after the
 // process was suspended, so that its own pause is not taken for their silence.
-// It drops pending openings without an answer to their callers.
 func (rt *Router) handlePause(now time.Time, gap time.Duration) {
 	for _, p := range rt.roster.peers {
 		p.heard, p.alive, p.readAt = shift(p.heard, gap), shift(p.alive, gap), shift(p.readAt, gap)
@@ -205,8 +204,7 @@
 		s.heard = shift(s.heard, gap)
 	}
 	rt.roster.probed = nil
-	clear(rt.openings.flows)
-	clear(rt.openings.pendingAsks)
+	rt.resumeOpenings(now, gap)
 	rt.log("woke", "gap", gap.String())
 	rt.heartbeat(now, true)
 }
--- a/internal/tokenrouter/session_test.go
+++ b/internal/tokenrouter/session_test.go
@@ -26,9 +26,9 @@
 
 // configureSessions publishes a configuration with an urgent and a patient class of one
 // service. Flows stay open for the given time without packets.
-func (w *world) configureSessions(version uint64, idle time.Duration) {
+func (w *world) configureSessions(idle time.Duration) {
 	w.put(catalog.Item{Key: catalog.KeyConfiguration, Configuration: &catalog.Configuration{
-		Version: version, IdleTimeout: idle,
+		Version: 2, IdleTimeout: idle,
 		Routes: []catalog.Route{
 			{Address: urgentRoute, Service: "desk", Work: catalog.Once, Target: 400 * time.Millisecond, Deadline: 5 * time.Second, Priority: 1},
 			{Address: patientRoute, Service: "desk", Work: catalog.Idempotent, Target: 300 * time.Millisecond, Deadline: 4 * time.Second, Priority: 2},
--- a/internal/tokenrouter/work_test.go
+++ b/internal/tokenrouter/work_test.go
@@ -11,7 +11,7 @@
 // their flows open.
 func newSessionFleet(t *testing.T, seed uint64) *world {
 	w := newSmallFleet(t, seed)
-	w.configureSessions(2, idleTimeout)
+	w.configureSessions(idleTimeout)
 	w.advance(time.Second)
 	return w
 }
@@ -168,7 +168,7 @@
 func TestFlowsThatCloseAreNotMeasured(t *testing.T) {
 	placements := func(idle time.Duration) (list []uint64) {
 		w := newSmallFleet(t, 330)
-		w.configureSessions(2, idle)
+		w.configureSessions(idle)
 		w.advance(time.Second)
 		flows := w.load(400, 3*time.Second)
 		w.advance(4 * time.Second)
--- a/internal/tokenserver/packet.go
+++ b/internal/tokenserver/packet.go
@@ -3,9 +3,11 @@
 import (
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"github.com/chervilhaven/chervilhaven/internal/tokenrouter"
 )
@@ -17,6 +19,8 @@
 	// socketBufferBytes is the requested size of the kernel's receive buffer: the
 	// packets of one second at a busy instance.
 	socketBufferBytes = 1 << 20
+	// maxBacklogTime is the time after a pause in which the packets that waited are read.
+	maxBacklogTime = time.Second
 )
 
 // readPackets passes packets from the fabric to the state machine.
@@ -24,6 +28,9 @@
 	buffer := make([]byte, maxDatagramBytes)
 	var p tokenrouter.Packet
 	for {
+		if s.hasBacklog() {
+			s.readBacklog(buffer, &p)
+		}
 		n, _, err := s.packetConn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
@@ -37,6 +44,43 @@
 	}
 }
 
+// hasBacklog reports whether packets may wait that arrived during a pause of the process.
+func (s *Server) hasBacklog() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.resumed.IsZero() && s.now().Sub(s.resumed) >= maxBacklogTime {
+		s.resumed = time.Time{}
+	}
+	return !s.resumed.IsZero()
+}
+
+// readBacklog handles the packets that wait in the socket until there are none: whatever
+// comes after that has arrived since the pause.
+func (s *Server) readBacklog(buffer []byte, p *tokenrouter.Packet) {
+	raw, err := s.packetConn.SyscallConn()
+	if err != nil {
+		return
+	}
+	for s.hasBacklog() {
+		n := 0
+		readError := raw.Read(func(fd uintptr) bool {
+			n, _, err = unix.Recvfrom(int(fd), buffer, unix.MSG_DONTWAIT)
+			return true
+		})
+		if errors.Is(err, unix.EINTR) {
+			continue
+		}
+		if readError != nil || err != nil {
+			break
+		}
+		s.metrics.packetsReceived.Inc()
+		s.handlePacket(buffer[:n], p)
+	}
+	s.mu.Lock()
+	s.resumed = time.Time{}
+	s.mu.Unlock()
+}
+
 // handlePacket decodes a datagram of the fabric into p and passes it to the state
 // machine.
 func (s *Server) handlePacket(datagram []byte, p *tokenrouter.Packet) {
--- a/internal/tokenserver/server.go
+++ b/internal/tokenserver/server.go
@@ -85,10 +85,13 @@
 	started       time.Time
 	uptimeAtStart time.Duration
 
-	// mu guards router, lastEvent and sendBuffer.
-	mu         sync.Mutex
-	router     *tokenrouter.Router
-	lastEvent  time.Time
+	// mu guards router, lastEvent, resumed and sendBuffer.
+	mu        sync.Mutex
+	router    *tokenrouter.Router
+	lastEvent time.Time
+	// resumed is the end of the last pause while packets may still wait that arrived
+	// during it, and zero otherwise.
+	resumed    time.Time
 	sendBuffer []byte
 	// rescheduled wakes runTicks when an event made the next tick due earlier.
 	rescheduled chan struct{}
@@ -208,9 +211,13 @@
 	next := s.router.Next()
 	if gap := now.Sub(s.lastEvent); gap > pauseThreshold {
 		s.metrics.pauses.Inc()
+		s.resumed = now
 		s.execute(s.router.Apply(now, &tokenrouter.Resumed{Pause: gap}))
 	}
 	s.lastEvent = now
+	if p, ok := event.(*tokenrouter.Packet); ok {
+		p.Waited = !s.resumed.IsZero()
+	}
 	s.execute(s.router.Apply(now, event))
 	if s.router.Next().Before(next) {
 		select {
--- a/internal/tokenserver/server_test.go
+++ b/internal/tokenserver/server_test.go
@@ -205,6 +205,42 @@
 	}
 }
 
+// Opening packets that waited while the process was suspended must not be placed: their
+// callers may have opened the flow through another instance. Later ones are.
+func TestOpeningPacketsThatWaitedThroughPauseAreNotPlaced(t *testing.T) {
+	upstream, address := listenUDP(t)
+	s := startServer(t, address)
+	caller, _ := listenUDP(t)
+	send := func(mark byte) {
+		if _, err := caller.WriteToUDPAddrPort([]byte{byte(flow.RoleOpen), mark}, s.config.Packets); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.mu.Lock()
+	for range 5 {
+		send('w')
+	}
+	s.lastEvent = s.lastEvent.Add(-4 * time.Second)
+	s.mu.Unlock()
+	buffer := make([]byte, 100)
+	const attempts = 500
+	for range attempts {
+		if !s.hasBacklog() {
+			send('l')
+		}
+		if err := upstream.SetReadDeadline(time.Now().Add(10 * time.Millisecond)); err != nil {
+			t.Fatal(err)
+		}
+		if n, _, err := upstream.ReadFromUDPAddrPort(buffer); err == nil {
+			if n != 2 || buffer[1] != 'l' {
+				t.Errorf("the upstream received %q first, want a packet that was sent after the pause", buffer[:n])
+			}
+			return
+		}
+	}
+	t.Error("the upstream received no packet that was sent after the pause")
+}
+
 func TestFetchFromPeerIsCounted(t *testing.T) {
 	_, address := listenUDP(t)
 	a, b := startServer(t, address), startServer(t, address)
