--- a/internal/tokenrouter/heartbeat.go
+++ b/internal/tokenrouter/heartbeat.go
@@ -240,9 +240,6 @@
 	if m.Hello {
 		rt.tellDoubts(now, p, func(*upstream) bool { return true })
 	}
-	if m.Hello && rt.isNeighbour(p) {
-		rt.messageTo(p).Pins = append(rt.messageTo(p).Pins, rt.pinsFor(now)...)
-	}
 	switch {
 	case m.Hello || m.Answer == PeersMessage:
 		rt.messageTo(p).Peers = rt.namePeers(now, p, peersPerAnswer)
--- a/internal/tokenrouter/opening.go
+++ b/internal/tokenrouter/opening.go
@@ -358,7 +358,6 @@
 // expireOpenings sends due reports and handles openings whose phase timed out.
 func (rt *Router) expireOpenings(now time.Time) {
 	rt.flushReports(now)
-	rt.flushPins(now)
 	rt.repeatCorrections(now)
 	for id, o := range rt.openings.flows {
 		if now.Before(o.phaseDeadline) {
