tokenrouter: reset open flows only if a connection to their upstream fails

Requests took about a second.

Cause: a reset rested on silence, that of a data centre's instances or of requests. An upstream at work cannot refute either. The same flaw resets flows in a quiet hour without any disruption, by the other verdict.

--- a/internal/tokenrouter/correction_test.go
+++ b/internal/tokenrouter/correction_test.go
@@ -153,28 +153,27 @@
 	c.checkAnswers(t)
 }
 
-// newLoneFleet returns a world of ten instances in four data centres, one of which is alone in
-// its own.
-func newLoneFleet(t *testing.T, seed uint64) (w *world, lone *node) {
+// newLoneFleet returns a world of four data centres, of which three have the given number of
+// instances, and the instance that is alone in the fourth.
+func newLoneFleet(t *testing.T, seed uint64, others int) (w *world, lone *node) {
 	w = newWorld(t, seed)
 	w.configure(1)
-	for _, dc := range []struct {
-		name  string
-		nodes int
-	}{{"a", 3}, {"b", 3}, {"c", 3}, {"d", 1}} {
-		w.addNodes(dc.name, dc.nodes)
-		w.addServers(dc.name, 3, 30*time.Millisecond)
+	for _, name := range []string{"a", "b", "c"} {
+		w.addNodes(name, others)
+		w.addServers(name, 3, 30*time.Millisecond)
 	}
+	w.addNodes("d", 1)
+	w.addServers("d", 3, 30*time.Millisecond)
 	w.startAll()
 	w.advance(4 * time.Second)
-	return w, w.nodes[9]
+	return w, w.nodes[len(w.nodes)-1]
 }
 
 // The only instance of a data centre is stopped and started. Its open flows, some of which
 // opened at the second upstream that their opening was sent to, pass through instances of other
 // data centres and then through the new process.
 func TestOpenFlowsStayAtTheirUpstreamsWhenLoneInstanceIsRestarted(t *testing.T) {
-	w, lone := newLoneFleet(t, 93)
+	w, lone := newLoneFleet(t, 93, 3)
 	list := openMany(w, 100, 3*time.Second, func() *node { return lone })
 	w.advance(4 * time.Second)
 	lone.apply(&Stopping{})
@@ -195,7 +194,7 @@
 // centre after its opening packet. The instance that holds the opening must learn that the
 // flow is open.
 func TestAcknowledgementInAnotherDataCentreEndsOpening(t *testing.T) {
-	w, lone := newLoneFleet(t, 94)
+	w, lone := newLoneFleet(t, 94, 3)
 	other := w.nodes[0]
 	for name, path := range map[string][2]*node{"away from it": {lone, other}, "back to it": {other, lone}} {
 		for range 20 {
--- a/internal/tokenrouter/event.go
+++ b/internal/tokenrouter/event.go
@@ -71,6 +71,14 @@
 // Resumed reports that the process was not scheduled for the duration Pause.
 type Resumed struct{ Pause time.Duration }
 
+// Dialed is the result of a Dial effect. Unreachable is true if nothing at all came back.
+type Dialed struct {
+	Number      uint64
+	Unreachable bool
+	// Result says what came back, for the log.
+	Result string
+}
+
 // Stopping announces the planned shutdown of this instance.
 type Stopping struct{}
 
@@ -85,6 +93,7 @@
 func (*FetchFailed) event()     {}
 func (*SeedsChanged) event()    {}
 func (*Resumed) event()         {}
+func (*Dialed) event()          {}
 func (*Stopping) event()        {}
 func (*Tick) event()            {}
 
@@ -248,6 +257,9 @@
 	// Fetch requests the catalog changes after Since from Peer and fails after
 	// Timeout. The result is a Fetched or FetchFailed event.
 	Fetch
+	// Dial connects to the address Upstream of the upstream with the given Number and closes
+	// the connection, or fails after Timeout. The result is a Dialed event.
+	Dial
 	// Log writes Line to the log.
 	Log
 	// ObserveDuration records the duration Wait in the metric that the field
--- a/internal/tokenrouter/reach.go
+++ b/internal/tokenrouter/reach.go
@@ -39,10 +39,15 @@
 	told       map[uint64]time.Time
 	// progress holds the times of the last answer from each data centre.
 	progress map[string]time.Time
+	// dials holds the last attempts to connect to upstreams with stuck flows.
+	dials map[uint64]dial
 }
 
 func newStuckFlows() stuckFlows {
-	return stuckFlows{flows: make(map[uint64]stuckFlow), outOfReach: make(map[uint64]time.Time), told: make(map[uint64]time.Time), progress: make(map[string]time.Time)}
+	return stuckFlows{
+		flows: make(map[uint64]stuckFlow), outOfReach: make(map[uint64]time.Time), told: make(map[uint64]time.Time),
+		progress: make(map[string]time.Time), dials: make(map[uint64]dial),
+	}
 }
 
 // noteProgress records that an upstream answers an open flow.
@@ -66,13 +71,11 @@
 	if len(rt.stuck.flows) < maxStuckFlows {
 		rt.stuck.flows[flow] = f
 	}
-	switch told, ok := rt.stuck.outOfReach[number]; {
-	case ok && (now.Sub(told) < outOfReachFor || !u.goneAt.IsZero()):
-		rt.resetStuck(now, flow, f, "no-answers")
-	case rt.cutOffFrom(u.info.DataCentre, since, repeats):
-		rt.resetStuck(now, flow, f, "cut-off")
-	case repeats < stuckRepeats:
-	default:
+	if reason := rt.resetReason(now, flow, f); reason != "" && rt.confirmUnreachable(now, u) {
+		rt.resetStuck(now, flow, f, reason)
+		return
+	}
+	if repeats >= stuckRepeats {
 		rt.reportStuck(now, u, flow)
 	}
 }
@@ -142,15 +145,16 @@
 	}
 }
 
-// handleOutOfReach resets the stuck flows of an upstream, because its coordinator has
-// found it out of reach.
+// handleOutOfReach resets the stuck flows of an upstream that its coordinator has found out
+// of reach, if this instance does not reach it either.
 func (rt *Router) handleOutOfReach(now time.Time, number uint64) {
-	if _, ok := rt.upstreams.byNumber[number]; !ok {
+	u, ok := rt.upstreams.byNumber[number]
+	if !ok {
 		return
 	}
 	rt.stuck.outOfReach[number] = now
 	for flow, f := range rt.stuck.flows {
-		if f.upstream == number {
+		if f.upstream == number && rt.confirmUnreachable(now, u) {
 			rt.resetStuck(now, flow, f, "no-answers")
 		}
 	}
@@ -177,6 +181,7 @@
 			delete(rt.stuck.flows, flow)
 		}
 	}
+	rt.expireDials(now)
 	for number, at := range rt.stuck.outOfReach {
 		u, known := rt.upstreams.byNumber[number]
 		if !known || now.Sub(at) >= outOfReachFor && u.goneAt.IsZero() {
--- a/internal/tokenrouter/reach_test.go
+++ b/internal/tokenrouter/reach_test.go
@@ -1,6 +1,7 @@
 package tokenrouter
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -116,6 +117,41 @@
 	}
 }
 
+// Requests take about a second, so that callers send them again twice before they are answered.
+// No open flow is reset: not when the only instance of a data centre leaves or is killed, whose
+// silence looks like a cut, and not in a quiet hour in which nothing else shows that an
+// upstream is at work.
+func TestOpenFlowsWithLongRequestsAreNotReset(t *testing.T) {
+	for name, disturb := range map[string]func(w *world, lone *node){
+		"quiet hour": func(*world, *node) {},
+		"lone instance stops": func(w *world, lone *node) {
+			lone.apply(&Stopping{})
+			w.after(2400*time.Millisecond, lone.kill)
+			w.after(5400*time.Millisecond, lone.start)
+		},
+		"lone instance is killed": func(w *world, lone *node) {
+			lone.kill()
+			w.after(3*time.Second, lone.start)
+		},
+	} {
+		for _, others := range []int{2, 3} {
+			t.Run(fmt.Sprintf("%s of %d", name, 3*others+1), func(t *testing.T) {
+				w, lone := newLoneFleet(t, 460, others)
+				w.configureSessions(idleTimeout)
+				for _, u := range w.servers() {
+					u.meanServiceTime = time.Second
+				}
+				list := w.sessions(28, 3500*time.Millisecond, 7*time.Second)
+				disturb(w, lone)
+				w.advance(20 * time.Second)
+				if n := resetsOf(list); n > 0 {
+					t.Errorf("%d open flows were reset, want 0", n)
+				}
+			})
+		}
+	}
+}
+
 // A data centre is cut off. Callers of both sides whose open flows lead across the cut get
 // a reset and are answered on their side.
 func TestOpenFlowsAcrossCutAreReset(t *testing.T) {
--- a/internal/tokenrouter/router.go
+++ b/internal/tokenrouter/router.go
@@ -111,6 +111,13 @@
 	if rt.started.IsZero() {
 		rt.handleStart(now)
 	}
+	rt.handle(now, event)
+	rt.tick(now)
+	rt.sendMessages()
+	return rt.effects
+}
+
+func (rt *Router) handle(now time.Time, event Event) {
 	switch v := event.(type) {
 	case *Packet:
 		rt.handlePacket(now, v)
@@ -129,15 +136,14 @@
 		rt.sendHelloToSeeds()
 	case *Resumed:
 		rt.handlePause(now, v.Pause)
+	case *Dialed:
+		rt.handleDialed(now, v)
 	case *Stopping:
 		rt.stopping = true
 		rt.log("stopping", "openings", strconv.Itoa(len(rt.openings.flows)))
 		rt.heartbeat(now, true)
 	case *Tick:
 	}
-	rt.tick(now)
-	rt.sendMessages()
-	return rt.effects
 }
 
 // Next returns the time at which the caller must pass a Tick to Apply.
--- a/internal/tokenserver/metrics.go
+++ b/internal/tokenserver/metrics.go
@@ -22,6 +22,7 @@
 	pauses             *metrics.Counter
 	panics             *metrics.Counter
 	fetches            *metrics.Counter
+	dials              *metrics.Counter
 	storeCalls         *metrics.Counter
 	storeFailures      *metrics.Counter
 	storeSeconds       *metrics.PrometheusHistogram
@@ -43,6 +44,7 @@
 		pauses:             s.NewCounter("chervilhaven_edge_pauses_total"),
 		panics:             s.NewCounter("chervilhaven_edge_panics_total"),
 		fetches:            s.NewCounter("chervilhaven_edge_fetches_total"),
+		dials:              s.NewCounter("chervilhaven_edge_upstream_dials_total"),
 		storeCalls:         s.NewCounter("chervilhaven_edge_store_calls_total"),
 		storeFailures:      s.NewCounter("chervilhaven_edge_store_failures_total"),
 		storeSeconds:       s.NewPrometheusHistogram("chervilhaven_edge_store_call_seconds"),
--- a/internal/tokenserver/server.go
+++ b/internal/tokenserver/server.go
@@ -246,6 +246,9 @@
 		case tokenrouter.Fetch:
 			peer, since, timeout := e.Peer, e.Since, e.Timeout
 			s.startTask(func() { s.fetchCatalog(peer, since, timeout) })
+		case tokenrouter.Dial:
+			number, address, timeout := e.Number, e.Upstream, e.Timeout
+			s.startTask(func() { s.dialUpstream(number, address, timeout) })
 		case tokenrouter.Log:
 			s.writeLogLine(&e.Line)
 		case tokenrouter.ObserveDuration:
