tokenserver: draw no conclusion from a dial while the process stands still

Found by reading: a process that was suspended during a dial, or that stops, took its own silence for that of the upstream, and would have reset open flows. A pause that follows the reading of the last packet that waited was forgotten with the one before it.

Change: a dial during which the process stood still for 0.1 s does not count, and none counts after the stop. The end of a backlog is recorded for its own pause only. No test provokes either; the existing ones pass.

--- a/internal/tokenrouter/dial.go
+++ b/internal/tokenrouter/dial.go
@@ -1,8 +1,6 @@
 package tokenrouter
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// dialTimeout is the time allowed for a connection to an upstream.
--- a/internal/tokenserver/dial.go
+++ b/internal/tokenserver/dial.go
@@ -12,41 +12,60 @@
 	"github.com/chervilhaven/chervilhaven/internal/tokenrouter"
 )
 
-// dialAttempts is the number of connections that are tried at the same time: the first packet
-// of one may get lost.
-const dialAttempts = 2
+const (
+	// dialAttempts is the number of connections that are tried at the same time: the first
+	// packet of one may get lost.
+	dialAttempts = 2
+	// dialCheckInterval is the time between two checks that the process runs while it waits
+	// for a connection, maxDialStall the longest time between them.
+	dialCheckInterval = 50 * time.Millisecond
+	maxDialStall      = 100 * time.Millisecond
+)
 
-// dialUpstream tries to connect to an upstream and applies the result.
+// dialUpstream tries to connect to an upstream and applies the result. If the process stood
+// still or stops, an answer may have come unnoticed, and the upstream does not count as
+// unreachable.
 func (s *Server) dialUpstream(number uint64, address netip.AddrPort, timeout time.Duration) {
 	s.metrics.dials.Inc()
-	err := s.dial(address, timeout)
-	event := &tokenrouter.Dialed{Number: number, Unreachable: !answered(err), Result: "connected"}
+	stalled, err := s.dial(address, timeout)
+	if s.taskContext.Err() != nil {
+		return
+	}
+	event := &tokenrouter.Dialed{Number: number, Unreachable: !answered(err) && !stalled, Result: "connected"}
 	if err != nil {
 		event.Result = err.Error()
 	}
 	s.apply(event)
 }
 
-// dial returns the result of the first attempt that was answered, or an error.
-func (s *Server) dial(address netip.AddrPort, timeout time.Duration) error {
+// dial returns the result of the first attempt that was answered, or an error, and whether the
+// process stood still meanwhile.
+func (s *Server) dial(address netip.AddrPort, timeout time.Duration) (stalled bool, err error) {
 	ctx, cancel := context.WithTimeout(s.taskContext, timeout)
 	defer cancel()
 	results := make(chan error, dialAttempts)
 	for range dialAttempts {
 		s.startTask(func() { results <- dialOnce(ctx, address) })
 	}
-	var err error
-	for range dialAttempts {
+	checks := time.NewTicker(dialCheckInterval)
+	defer checks.Stop()
+	last := s.now()
+	for pending := dialAttempts; pending > 0; {
 		select {
 		case err = <-results:
+			pending--
+		case <-checks.C:
 		case <-ctx.Done():
-			err = ctx.Err()
+			pending, err = 0, ctx.Err()
 		}
-		if answered(err) {
+		now := s.now()
+		stalled = stalled || now.Sub(last) > maxDialStall
+		last = now
+		if pending < dialAttempts && answered(err) {
 			break
 		}
 	}
-	return err
+	return stalled, err
 }
 
 func dialOnce(ctx context.Context, address netip.AddrPort) error {
--- a/internal/tokenserver/dial_test.go
+++ b/internal/tokenserver/dial_test.go
@@ -48,7 +48,7 @@
 	}{
 		"listening": {s.config.Router.Self, true}, "refusing": {freeAddress(t), true}, "silent": {fullListener(t), false},
 	} {
-		if err := s.dial(c.address, 300*time.Millisecond); answered(err) != c.answered {
+		if _, err := s.dial(c.address, 300*time.Millisecond); answered(err) != c.answered {
 			t.Errorf("%s: error %v, answered %v, want %v", name, err, answered(err), c.answered)
 		}
 	}
--- a/internal/tokenserver/packet.go
+++ b/internal/tokenserver/packet.go
@@ -28,9 +28,7 @@
 	buffer := make([]byte, maxDatagramBytes)
 	var p tokenrouter.Packet
 	for {
-		if s.hasBacklog() {
-			s.readBacklog(buffer, &p)
-		}
+		s.readBacklog(buffer, &p)
 		n, _, err := s.packetConn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
@@ -44,41 +42,57 @@
 	}
 }
 
-// hasBacklog reports whether packets may wait that arrived during a pause of the process.
-func (s *Server) hasBacklog() bool {
+// backlog returns the end of the last pause of the process if packets may wait that arrived
+// during it.
+func (s *Server) backlog() (resumed time.Time, waiting bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.resumed.IsZero() && s.now().Sub(s.resumed) >= maxBacklogTime {
 		s.resumed = time.Time{}
 	}
-	return !s.resumed.IsZero()
+	return s.resumed, !s.resumed.IsZero()
 }
 
-// readBacklog handles the packets that wait in the socket until there are none: whatever
-// comes after that has arrived since the pause.
+// endBacklog records that the packets that arrived during a pause are read, unless another
+// pause has followed.
+func (s *Server) endBacklog(resumed time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.resumed.Equal(resumed) {
+		s.resumed = time.Time{}
+	}
+}
+
+// readBacklog handles the packets that wait in the socket after a pause until there are none:
+// whatever comes after that has arrived since.
 func (s *Server) readBacklog(buffer []byte, p *tokenrouter.Packet) {
+	for resumed, waiting := s.backlog(); waiting; resumed, waiting = s.backlog() {
+		n, err := s.tryRead(buffer)
+		switch {
+		case err == nil:
+			s.metrics.packetsReceived.Inc()
+			s.handlePacket(buffer[:n], p)
+		case !errors.Is(err, unix.EINTR):
+			s.endBacklog(resumed)
+		}
+	}
+}
+
+// tryRead reads a packet if one waits.
+func (s *Server) tryRead(buffer []byte) (n int, err error) {
 	raw, err := s.packetConn.SyscallConn()
 	if err != nil {
-		return
+		return 0, err
 	}
-	for s.hasBacklog() {
-		n := 0
-		readError := raw.Read(func(fd uintptr) bool {
-			n, _, err = unix.Recvfrom(int(fd), buffer, unix.MSG_DONTWAIT)
-			return true
-		})
-		if errors.Is(err, unix.EINTR) {
-			continue
-		}
-		if readError != nil || err != nil {
-			break
-		}
-		s.metrics.packetsReceived.Inc()
-		s.handlePacket(buffer[:n], p)
+	var readError error
+	err = raw.Read(func(fd uintptr) bool {
+		n, _, readError = unix.Recvfrom(int(fd), buffer, unix.MSG_DONTWAIT)
+		return true
+	})
+	if err != nil {
+		return 0, err
 	}
-	s.mu.Lock()
-	s.resumed = time.Time{}
-	s.mu.Unlock()
+	return n, readError
 }
 
 // handlePacket decodes a datagram of the fabric into p and passes it to the state
--- a/internal/tokenserver/server_test.go
+++ b/internal/tokenserver/server_test.go
@@ -225,7 +225,7 @@
 	buffer := make([]byte, 100)
 	const attempts = 500
 	for range attempts {
-		if !s.hasBacklog() {
+		if _, waiting := s.backlog(); !waiting {
 			send('l')
 		}
 		if err := upstream.SetReadDeadline(time.Now().Add(10 * time.Millisecond)); err != nil {
