tokenrouter: tell refusals and taken addresses from upstreams at work

Change: an upstream whose entry is gone and whose address another one has is out of reach without a dial. A refusal confirms the verdict that nothing is answered, but not that of a cut. As long requests look like silence, the coordinator takes silence alone for a verdict only if its own dial has no answer; it dials when the silence begins.

Tests: TestOpenFlowsAtReusedAddressesAreReset (failed without the rule), TestOpenFlowsAtDeadUpstreamsAreReset "on a host that lives".

--- a/internal/scheduler/reach.go
+++ b/internal/scheduler/reach.go
@@ -71,13 +71,14 @@
 	}
 }
 
-// OutOfReach reports whether an upstream is out of reach: open flows are stuck there,
+// OutOfReach reports whether an upstream seems out of reach: open flows are stuck there,
 // nothing is answered, and it is suspect, as openings are not answered either, or gone from
-// the store, or silent for long.
-func (p *Scheduler) OutOfReach(now time.Time, number uint64, gone bool) bool {
+// the store, or silent for long. onlySilent is true for the last of these, which long requests
+// look like as well.
+func (p *Scheduler) OutOfReach(now time.Time, number uint64, gone bool) (outOfReach, onlySilent bool) {
 	u, ok := p.upstreams[number]
 	if !ok || !u.quiet(now, quietTime) {
-		return false
+		return false, false
 	}
 	stuck := 0
 	for _, s := range u.reach.stuck {
@@ -86,7 +87,15 @@
 		}
 	}
 	silent := stuck >= stuckThreshold && u.quiet(now, silenceTime) && now.Sub(u.reach.stuckSince) >= silentRepeats
-	return stuck > 0 && (gone || u.suspicion.duration > 0 || silent)
+	shown := gone || u.suspicion.duration > 0
+	return stuck > 0 && (shown || silent), !shown
+}
+
+// Quiet reports whether an upstream with stuck flows is not known to have answered anything
+// lately.
+func (p *Scheduler) Quiet(now time.Time, number uint64) bool {
+	u, ok := p.upstreams[number]
+	return ok && u.quiet(now, quietTime)
 }
 
 // trial returns a candidate that has to show whether it answers, nil if there is none.
--- a/internal/tokenrouter/caller_test.go
+++ b/internal/tokenrouter/caller_test.go
@@ -33,7 +33,9 @@
 	asked     map[string]uint32
 	openTimes []time.Time
 	// muted loses the answers to opening packets.
-	muted     bool
+	muted bool
+	// refuses makes the host refuse connections when the server is dead.
+	refuses   bool
 	misrouted int
 	misplaced int
 }
--- a/internal/tokenrouter/event.go
+++ b/internal/tokenrouter/event.go
@@ -71,14 +71,28 @@
 // Resumed reports that the process was not scheduled for the duration Pause.
 type Resumed struct{ Pause time.Duration }
 
-// Dialed is the result of a Dial effect. Unreachable is true if nothing at all came back.
+// Dialed is the result of a Dial effect.
 type Dialed struct {
-	Number      uint64
-	Unreachable bool
-	// Result says what came back, for the log.
-	Result string
+	Number uint64
+	Answer DialAnswer
 }
 
+// DialAnswer is what comes back from an upstream that is dialled.
+type DialAnswer uint8
+
+// Answers to a dial, by how much they speak for an upstream that does not work.
+const (
+	// Connected means that something accepts connections at the upstream's address.
+	Connected DialAnswer = iota
+	// Refused means that its host is reached and nothing accepts connections there.
+	Refused
+	// Silent means that nothing came back.
+	Silent
+)
+
+// String returns the answer for log lines.
+func (a DialAnswer) String() string { return [...]string{"connected", "refused", "silent", ""}[a&3] }
+
 // Stopping announces the planned shutdown of this instance.
 type Stopping struct{}
 
--- a/internal/tokenrouter/reach.go
+++ b/internal/tokenrouter/reach.go
@@ -54,6 +54,7 @@
 func (rt *Router) noteProgress(now time.Time, flow, number uint64) {
 	delete(rt.stuck.flows, flow)
 	delete(rt.stuck.outOfReach, number)
+	delete(rt.stuck.dials, number)
 	if u, ok := rt.upstreams.byNumber[number]; ok {
 		rt.stuck.progress[u.info.DataCentre] = now
 	}
@@ -71,7 +72,7 @@
 	if len(rt.stuck.flows) < maxStuckFlows {
 		rt.stuck.flows[flow] = f
 	}
-	if reason := rt.resetReason(now, flow, f); reason != "" && rt.confirmUnreachable(now, u) {
+	if reason, at := rt.resetReason(now, flow, f); reason != "" && rt.confirmUnreachable(now, u, at) {
 		rt.resetStuck(now, flow, f, reason)
 		return
 	}
@@ -113,16 +114,24 @@
 // recordStuck handles a stuck flow that an instance reports, nil for this one.
 func (rt *Router) recordStuck(now time.Time, number, flow uint64, from *peer) {
 	rt.scheduler.RecordStuck(now, number, flow)
+	if u, ok := rt.upstreams.byNumber[number]; ok && rt.scheduler.Quiet(now, number) {
+		// The answer is there when the silence has lasted long enough.
+		rt.confirmUnreachable(now, u, Silent)
+	}
 	if rt.checkReach(now, number) && from != nil {
 		rt.tellReach(from, number)
 	}
 }
 
 // checkReach reports whether an upstream is out of reach. If so, all instances with open
-// flows there are told.
+// flows there are told. Requests without an answer are not enough: a dial has to fail, too.
 func (rt *Router) checkReach(now time.Time, number uint64) bool {
 	u, ok := rt.upstreams.byNumber[number]
-	if !ok || !rt.scheduler.OutOfReach(now, number, !u.goneAt.IsZero()) {
+	if !ok {
+		return false
+	}
+	outOfReach, onlySilent := rt.scheduler.OutOfReach(now, number, !u.goneAt.IsZero())
+	if !outOfReach || onlySilent && !rt.confirmUnreachable(now, u, Silent) {
 		return false
 	}
 	if told, ok := rt.stuck.told[number]; ok && now.Sub(told) < tellOutOfReach {
@@ -154,7 +163,7 @@
 	}
 	rt.stuck.outOfReach[number] = now
 	for flow, f := range rt.stuck.flows {
-		if f.upstream == number && rt.confirmUnreachable(now, u) {
+		if f.upstream == number && rt.confirmUnreachable(now, u, Refused) {
 			rt.resetStuck(now, flow, f, "no-answers")
 		}
 	}
--- a/internal/tokenrouter/reach_test.go
+++ b/internal/tokenrouter/reach_test.go
@@ -40,7 +40,10 @@
 	for name, c := range map[string]struct {
 		openings float64
 		bound    time.Duration
-	}{"beside new flows": {60, time.Second}, "alone": {0, 2 * time.Second}} {
+		refuses  bool
+	}{
+		"beside new flows": {60, time.Second, false}, "alone": {0, 2 * time.Second, false}, "on a host that lives": {60, time.Second, true},
+	} {
 		t.Run(name, func(t *testing.T) {
 			w := newSessionFleet(t, 400)
 			if c.openings > 0 {
@@ -50,7 +53,7 @@
 			w.advance(time.Second)
 			died := w.now
 			for _, u := range w.servers()[:2] {
-				u.alive = false
+				u.alive, u.refuses = false, c.refuses
 			}
 			w.advance(6 * time.Second)
 			soon, late, lost := requestsSince(list, died, died.Add(4*time.Second), c.bound)
@@ -66,6 +69,39 @@
 	}
 }
 
+// The addresses of dead upstreams go to others, which accept connections in their place. Open
+// flows of the dead ones are reset all the same once their entries are gone.
+func TestOpenFlowsAtReusedAddressesAreReset(t *testing.T) {
+	w := newSessionFleet(t, 405)
+	list := w.sessions(160, 7*time.Second, 8*time.Second)
+	died := w.now
+	dead := w.servers()[:2]
+	for _, u := range dead {
+		u.alive = false
+	}
+	w.after(2*time.Second, func() {
+		for i, u := range w.addServers("a", 2, 30*time.Millisecond) {
+			u.info.Address = dead[i].info.Address
+			w.publish(u)
+		}
+	})
+	w.after(entryLease, func() {
+		for _, u := range dead {
+			w.unpublish(u)
+		}
+	})
+	w.advance(16 * time.Second)
+	soon, late, lost := requestsSince(list, died.Add(entryLease+time.Second), died.Add(14*time.Second), 2*time.Second)
+	if late+lost > 0 {
+		t.Errorf("of %d requests %d were answered later than in 2 s and %d not at all, want none", soon+late+lost, late, lost)
+	}
+	for _, s := range list {
+		if u := w.upstreams[s.caller.openedUpstream]; u != nil && !u.alive {
+			t.Errorf("a flow is still open at a dead upstream")
+		}
+	}
+}
+
 // The same, with a class whose requests must not run twice: no open flow is reset.
 func TestFlowsOfRequestsThatRunOnceAreNotReset(t *testing.T) {
 	w := newSessionFleet(t, 410)
--- a/internal/tokenrouter/world_test.go
+++ b/internal/tokenrouter/world_test.go
@@ -267,11 +267,17 @@
 			deliver(4*peerDelay, &Fetched{From: p.address, Batch: p.router.CatalogSince(f.Since)})
 		}
 	case Dial:
-		if u := w.upstreams[f.Number]; u == nil || !u.alive || w.unreachable != nil && w.unreachable(n, u) {
-			deliver(f.Timeout, &Dialed{Number: f.Number, Unreachable: true, Result: "timeout"})
-		} else {
-			deliver(2*peerDelay, &Dialed{Number: f.Number, Result: "connected"})
+		for _, u := range w.upstreams {
+			if u.info.Address == f.Upstream && u.alive && (w.unreachable == nil || !w.unreachable(n, u)) {
+				deliver(2*peerDelay, &Dialed{Number: f.Number, Answer: Connected})
+				return
+			}
+		}
+		if u := w.upstreams[f.Number]; u != nil && u.refuses {
+			deliver(2*peerDelay, &Dialed{Number: f.Number, Answer: Refused})
+			return
 		}
+		deliver(f.Timeout, &Dialed{Number: f.Number, Answer: Silent})
 	case Log:
 		n.lines = append(n.lines, f.Line)
 	case ObserveDuration:
--- a/internal/tokenserver/dial.go
+++ b/internal/tokenserver/dial.go
@@ -23,17 +23,16 @@
 )
 
 // dialUpstream tries to connect to an upstream and applies the result. If the process stood
-// still or stops, an answer may have come unnoticed, and the upstream does not count as
-// unreachable.
+// still or stops, an answer may have come unnoticed, and nothing is concluded.
 func (s *Server) dialUpstream(number uint64, address netip.AddrPort, timeout time.Duration) {
 	s.metrics.dials.Inc()
 	stalled, err := s.dial(address, timeout)
 	if s.taskContext.Err() != nil {
 		return
 	}
-	event := &tokenrouter.Dialed{Number: number, Unreachable: !answered(err) && !stalled, Result: "connected"}
-	if err != nil {
-		event.Result = err.Error()
+	event := &tokenrouter.Dialed{Number: number, Answer: answerOf(err)}
+	if stalled {
+		event.Answer = tokenrouter.Connected
 	}
 	s.apply(event)
 }
@@ -61,7 +60,7 @@
 		now := s.now()
 		stalled = stalled || now.Sub(last) > maxDialStall
 		last = now
-		if pending < dialAttempts && answered(err) {
+		if pending < dialAttempts && answerOf(err) != tokenrouter.Silent {
 			break
 		}
 	}
@@ -77,6 +76,13 @@
 	return conn.Close()
 }
 
-// answered reports whether the outcome of a dial shows that its packets arrive: a host that
-// refuses a connection is there.
-func answered(err error) bool { return err == nil || errors.Is(err, syscall.ECONNREFUSED) }
+func answerOf(err error) tokenrouter.DialAnswer {
+	switch {
+	case err == nil:
+		return tokenrouter.Connected
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return tokenrouter.Refused
+	default:
+		return tokenrouter.Silent
+	}
+}
--- a/internal/tokenserver/dial_test.go
+++ b/internal/tokenserver/dial_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/chervilhaven/chervilhaven/internal/tokenrouter"
 )
 
 // fullListener returns the address of a listener that answers no further connection, like a
@@ -37,19 +39,18 @@
 	return netip.AddrPort{}
 }
 
-// Only a host from which nothing comes back counts as unreachable: one that refuses the
-// connection was reached.
+// An upstream that refuses a connection is told from one from which nothing comes back.
 func TestDialTellsUnreachableUpstreams(t *testing.T) {
 	_, upstream := listenUDP(t)
 	s := startServer(t, upstream)
 	for name, c := range map[string]struct {
-		address  netip.AddrPort
-		answered bool
+		address netip.AddrPort
+		want    tokenrouter.DialAnswer
 	}{
-		"listening": {s.config.Router.Self, true}, "refusing": {freeAddress(t), true}, "silent": {fullListener(t), false},
+		"listening": {s.config.Router.Self, tokenrouter.Connected}, "refusing": {freeAddress(t), tokenrouter.Refused}, "silent": {fullListener(t), tokenrouter.Silent},
 	} {
-		if _, err := s.dial(c.address, 300*time.Millisecond); answered(err) != c.answered {
-			t.Errorf("%s: error %v, answered %v, want %v", name, err, answered(err), c.answered)
+		if _, err := s.dial(c.address, 300*time.Millisecond); answerOf(err) != c.want {
+			t.Errorf("%s: error %v, taken for %s, want %s", name, err, answerOf(err), c.want)
 		}
 	}
 }
