tokenrouter: one place decides whether a stuck flow is reset

The three places that reset stuck flows each asked for the reason and the dial; resetIfUnreachable does so for all. A pending dial needs no flag, as its answer is Connected until another is known. RecordStuck says whether the upstream is quiet, which it had looked up anyway. The loop that waits for a dial ends where its answer comes.

Behaviour is the same but for one case: if an upstream's address is taken while it is dialled, a flow stuck there is reset with the refusal instead of with its caller's next repetition.

--- a/internal/scheduler/reach.go
+++ b/internal/scheduler/reach.go
@@ -50,12 +50,12 @@
 }
 
 // RecordStuck records that the caller of an open flow sends its request again and again
-// without an answer. If the upstream has answered nothing else either, the next openings go
-// there: one that is merely slow answers them.
-func (p *Scheduler) RecordStuck(now time.Time, number, flow uint64) {
+// without an answer, and reports whether the upstream has answered nothing else either lately. If
+// so, the next openings go there: one that is merely slow answers them.
+func (p *Scheduler) RecordStuck(now time.Time, number, flow uint64) (quiet bool) {
 	u, ok := p.upstreams[number]
 	if !ok {
-		return
+		return false
 	}
 	r := &u.reach
 	r.stuck = slices.DeleteFunc(r.stuck, func(s stuckFlow) bool { return s.flow == flow || now.Sub(s.at) > stuckLifetime })
@@ -66,9 +66,11 @@
 	if r.stuckSince.Before(u.lastAnswer) || r.stuckSince.Before(r.lastWork) || r.stuckSince.IsZero() {
 		r.stuckSince = now
 	}
-	if r.trials == 0 && u.quiet(now, quietTime) && u.suspicion.duration == 0 {
+	quiet = u.quiet(now, quietTime)
+	if r.trials == 0 && quiet && u.suspicion.duration == 0 {
 		r.trials = silentThreshold
 	}
+	return quiet
 }
 
 // OutOfReach reports whether an upstream seems out of reach: open flows are stuck there,
@@ -91,13 +93,6 @@
 	return stuck > 0 && (shown || silent), !shown
 }
 
-// Quiet reports whether an upstream with stuck flows is not known to have answered anything
-// lately.
-func (p *Scheduler) Quiet(now time.Time, number uint64) bool {
-	u, ok := p.upstreams[number]
-	return ok && u.quiet(now, quietTime)
-}
-
 // trial returns a candidate that has to show whether it answers, nil if there is none.
 func (p *Scheduler) trial(now time.Time, r Request) *upstream {
 	if !r.Bounded || r.Group == AnyGroup {
--- a/internal/tokenrouter/dial.go
+++ b/internal/tokenrouter/dial.go
@@ -11,12 +11,11 @@
 	unansweredLifetime = 3 * time.Second
 )
 
-// dial is the last attempt of this instance to connect to an upstream.
+// dial is the last attempt of this instance to connect to an upstream. Its answer is Connected
+// until another one is known. at is when it began, or when its answer came.
 type dial struct {
-	pending bool
-	answer  DialAnswer
-	// at is when the attempt began, or ended if it is not pending.
-	at time.Time
+	answer DialAnswer
+	at     time.Time
 }
 
 // expired reports whether the result of a dial no longer holds.
@@ -27,22 +26,21 @@
 	return now.Sub(d.at) >= answeredLifetime
 }
 
-// confirmUnreachable reports whether a dial to an upstream has had the given answer lately, or
-// one that speaks more against it. If none has been tried, it is tried, and the flows that wait
-// for the result are reset when it is known. An upstream at work accepts connections however
-// long its requests take, so that silence alone is not taken for a failure.
-func (rt *Router) confirmUnreachable(now time.Time, u *upstream, least DialAnswer) bool {
-	number := u.info.Number
+// dialAnswer returns the answer of a dial to an upstream that still holds. If there is none, it
+// dials, and the flows that wait for the answer are reset when it comes. An upstream at work
+// accepts connections however long its requests take, so that silence alone is not taken for a
+// failure.
+func (rt *Router) dialAnswer(now time.Time, u *upstream) DialAnswer {
 	if rt.superseded(u) {
-		return true
+		return Silent
 	}
-	d, known := rt.stuck.dials[number]
-	if !known || d.expired(now) {
-		rt.stuck.dials[number] = dial{pending: true, at: now}
-		rt.emit(Effect{Kind: Dial, Upstream: u.info.Address, Number: number, Timeout: dialTimeout})
-		return false
+	number := u.info.Number
+	if d, known := rt.stuck.dials[number]; known && !d.expired(now) {
+		return d.answer
 	}
-	return !d.pending && d.answer >= least
+	rt.stuck.dials[number] = dial{at: now}
+	rt.emit(Effect{Kind: Dial, Upstream: u.info.Address, Number: number, Timeout: dialTimeout})
+	return Connected
 }
 
 // superseded reports whether the entry of an upstream is gone and another one has its address:
@@ -68,23 +66,35 @@
 		return
 	}
 	rt.checkReach(now, e.Number)
+	rt.resetUnreachable(now, e.Number)
+}
+
+// resetUnreachable resets the stuck flows of an upstream for which a dial confirms the reason.
+func (rt *Router) resetUnreachable(now time.Time, number uint64) {
+	u, known := rt.upstreams.byNumber[number]
+	if !known {
+		return
+	}
 	for flow, f := range rt.stuck.flows {
-		if f.upstream != e.Number {
-			continue
-		}
-		if reason, least := rt.resetReason(now, flow, f); reason != "" && e.Answer >= least {
-			rt.resetStuck(now, flow, f, reason)
+		if f.upstream == number {
+			rt.resetIfUnreachable(now, u, flow, f)
 		}
 	}
 }
 
+// resetIfUnreachable resets a stuck flow if there is a reason to and a dial confirms it.
+func (rt *Router) resetIfUnreachable(now time.Time, u *upstream, flow uint64, f stuckFlow) bool {
+	reason, least := rt.resetReason(now, u, flow, f)
+	if reason == "" || rt.dialAnswer(now, u) < least {
+		return false
+	}
+	rt.resetStuck(now, flow, f, reason)
+	return true
+}
+
 // resetReason returns why a stuck flow is to be reset, "" if it is not, and the answer to a
 // dial that confirms it. A refusal shows that no cut lies before the upstream.
-func (rt *Router) resetReason(now time.Time, flow uint64, f stuckFlow) (reason string, least DialAnswer) {
-	u, known := rt.upstreams.byNumber[f.upstream]
-	if !known {
-		return "", Silent
-	}
+func (rt *Router) resetReason(now time.Time, u *upstream, flow uint64, f stuckFlow) (reason string, least DialAnswer) {
 	if told, ok := rt.stuck.outOfReach[f.upstream]; ok && (now.Sub(told) < outOfReachFor || !u.goneAt.IsZero()) {
 		return "no-answers", Refused
 	}
--- a/internal/tokenrouter/reach.go
+++ b/internal/tokenrouter/reach.go
@@ -72,11 +72,7 @@
 	if len(rt.stuck.flows) < maxStuckFlows {
 		rt.stuck.flows[flow] = f
 	}
-	if reason, at := rt.resetReason(now, flow, f); reason != "" && rt.confirmUnreachable(now, u, at) {
-		rt.resetStuck(now, flow, f, reason)
-		return
-	}
-	if repeats >= stuckRepeats {
+	if !rt.resetIfUnreachable(now, u, flow, f) && repeats >= stuckRepeats {
 		rt.reportStuck(now, u, flow)
 	}
 }
@@ -113,10 +109,10 @@
 
 // recordStuck handles a stuck flow that an instance reports, nil for this one.
 func (rt *Router) recordStuck(now time.Time, number, flow uint64, from *peer) {
-	rt.scheduler.RecordStuck(now, number, flow)
-	if u, ok := rt.upstreams.byNumber[number]; ok && rt.scheduler.Quiet(now, number) {
+	quiet := rt.scheduler.RecordStuck(now, number, flow)
+	if u, ok := rt.upstreams.byNumber[number]; ok && quiet {
 		// The answer is there when the silence has lasted long enough.
-		rt.confirmUnreachable(now, u, Silent)
+		rt.dialAnswer(now, u)
 	}
 	if rt.checkReach(now, number) && from != nil {
 		rt.tellReach(from, number)
@@ -131,7 +127,7 @@
 		return false
 	}
 	outOfReach, onlySilent := rt.scheduler.OutOfReach(now, number, !u.goneAt.IsZero())
-	if !outOfReach || onlySilent && !rt.confirmUnreachable(now, u, Silent) {
+	if !outOfReach || onlySilent && rt.dialAnswer(now, u) != Silent {
 		return false
 	}
 	if told, ok := rt.stuck.told[number]; ok && now.Sub(told) < tellOutOfReach {
@@ -157,16 +153,11 @@
 // handleOutOfReach resets the stuck flows of an upstream that its coordinator has found out
 // of reach, if this instance does not reach it either.
 func (rt *Router) handleOutOfReach(now time.Time, number uint64) {
-	u, ok := rt.upstreams.byNumber[number]
-	if !ok {
+	if _, ok := rt.upstreams.byNumber[number]; !ok {
 		return
 	}
 	rt.stuck.outOfReach[number] = now
-	for flow, f := range rt.stuck.flows {
-		if f.upstream == number && rt.confirmUnreachable(now, u, Refused) {
-			rt.resetStuck(now, flow, f, "no-answers")
-		}
-	}
+	rt.resetUnreachable(now, number)
 }
 
 // resetStuck resets an open flow whose upstream is out of reach, so that its caller tries
--- a/internal/tokenserver/dial.go
+++ b/internal/tokenserver/dial.go
@@ -52,7 +52,9 @@
 	for pending := dialAttempts; pending > 0; {
 		select {
 		case err = <-results:
-			pending--
+			if pending--; answerOf(err) != tokenrouter.Silent {
+				pending = 0
+			}
 		case <-checks.C:
 		case <-ctx.Done():
 			pending, err = 0, ctx.Err()
@@ -60,9 +62,6 @@
 		now := s.now()
 		stalled = stalled || now.Sub(last) > maxDialStall
 		last = now
-		if pending < dialAttempts && answerOf(err) != tokenrouter.Silent {
-			break
-		}
 	}
 	return stalled, err
 }
