tokenrouter: send corrections from one loop, hold pins by pointer

Both copies of a correction went through a loop of their own over the upstreams of an opening; sendCorrections serves both. A pin's opening is set and dropped in place instead of through a copy. An upstream that is neither closed nor gone is in the state Open. No change of behaviour; tests unchanged, passed.

--- a/internal/tokenrouter/correction.go
+++ b/internal/tokenrouter/correction.go
@@ -21,23 +21,27 @@
 // caller's packets carry the last token that it received: in this way it stays the right one
 // for every instance, whatever that instance knows of the flow.
 func (rt *Router) correctAnswers(now time.Time, o *opening, number uint64) {
+	rt.sendCorrections(o, number)
+	s := &rt.pins
+	s.corrections = append(s.corrections, correction{now.Add(correctionInterval), o.flow})
+	rt.scheduleTick(s.corrections[0].at)
+}
+
+func (rt *Router) sendCorrections(o *opening, number uint64) {
 	for _, other := range o.tries {
 		if other != number {
-			rt.correctAnswersOf(o, number, other)
+			rt.sendCorrection(o, number, other)
 		}
 	}
-	s := &rt.pins
-	s.corrections = append(s.corrections, correction{now.Add(correctionInterval), o.flow})
-	rt.scheduleTick(s.corrections[0].at)
 }
 
-// correctAnswersOf sends a copy of an opening packet to an upstream that got it before, with
+// sendCorrection sends a copy of an opening packet to an upstream that got it before, with
 // the token of the flow's own upstream. One that must not get new flows any more, and may
 // have missed the first copy, is left alone.
-func (rt *Router) correctAnswersOf(o *opening, number, other uint64) {
+func (rt *Router) sendCorrection(o *opening, number, other uint64) {
 	own, known := rt.upstreams.byNumber[number]
 	u, ok := rt.upstreams.byNumber[other]
-	if !known || !ok || !u.goneAt.IsZero() || rt.stateOf(u) == scheduler.Closed || rt.routes[o.id.destination].Service != u.info.Service {
+	if !known || !ok || rt.stateOf(u) != scheduler.Open || rt.routes[o.id.destination].Service != u.info.Service {
 		return
 	}
 	rt.counts.Corrected++
@@ -48,16 +52,10 @@
 func (rt *Router) repeatCorrections(now time.Time) {
 	s := &rt.pins
 	for len(s.corrections) > 0 && !now.Before(s.corrections[0].at) {
-		p, ok := s.held[s.corrections[0].flow]
-		s.corrections = s.corrections[1:]
-		if !ok || p.opening == nil {
-			continue
-		}
-		for _, other := range p.opening.tries {
-			if other != p.upstream {
-				rt.correctAnswersOf(p.opening, p.upstream, other)
-			}
+		if p := s.held[s.corrections[0].flow]; p != nil && p.opening != nil {
+			rt.sendCorrections(p.opening, p.upstream)
 		}
+		s.corrections = s.corrections[1:]
 	}
 	if len(s.corrections) > 0 {
 		rt.scheduleTick(s.corrections[0].at)
--- a/internal/tokenrouter/neighbour.go
+++ b/internal/tokenrouter/neighbour.go
@@ -126,9 +126,9 @@
 // If this instance knows better it stays with that, and if it agrees some upstream still
 // answers otherwise.
 func (rt *Router) handlePinWithoutOpening(now time.Time, p Pin) {
-	held, ok := rt.pins.held[p.Flow]
+	held := rt.pins.held[p.Flow]
 	switch {
-	case !ok || held.opening == nil:
+	case held == nil || held.opening == nil:
 		rt.pin(now.Add(-p.Age), p.Flow, p.Upstream)
 	case held.upstream == p.Upstream:
 		rt.correctAnswers(now, held.opening, held.upstream)
--- a/internal/tokenrouter/pin.go
+++ b/internal/tokenrouter/pin.go
@@ -24,7 +24,7 @@
 // token may name any of them.
 type pins struct {
 	// held holds the upstreams of such flows by flow hash.
-	held map[uint64]pin
+	held map[uint64]*pin
 	// seen holds the upstream that the first packet of a flow named, since the time
 	// seenSince; seenBefore is that of the period before.
 	seen       map[uint64]uint64
@@ -51,7 +51,7 @@
 }
 
 func newPins() pins {
-	return pins{held: make(map[uint64]pin), seen: make(map[uint64]uint64), seenBefore: make(map[uint64]uint64), sought: make(map[uint64]search)}
+	return pins{held: make(map[uint64]*pin), seen: make(map[uint64]uint64), seenBefore: make(map[uint64]uint64), sought: make(map[uint64]search)}
 }
 
 // noteSeen records that a packet of an open flow names an upstream and returns the one
@@ -124,9 +124,8 @@
 
 // forgetOpening drops the opening of a flow that its caller has closed.
 func (s *pins) forgetOpening(flow uint64) {
-	if p, ok := s.held[flow]; ok && p.opening != nil {
+	if p := s.held[flow]; p != nil {
 		p.opening = nil
-		s.held[flow] = p
 	}
 }
 
@@ -164,12 +163,15 @@
 // pinnedUpstream returns the upstream that a flow is pinned to. If a packet of the flow names
 // another one, the copies that corrected the answers of that one are lost, and another is sent.
 func (rt *Router) pinnedUpstream(flow uint64, p *Packet) (own *upstream, ok bool) {
-	held, pinned := rt.pins.held[flow]
-	if own, ok = rt.upstreams.byNumber[held.upstream]; !pinned || !ok {
+	held := rt.pins.held[flow]
+	if held == nil {
+		return nil, false
+	}
+	if own, ok = rt.upstreams.byNumber[held.upstream]; !ok {
 		return nil, false
 	}
 	if u := rt.upstreams.byToken[p.Token]; u != nil && u != own && held.opening != nil && slices.Contains(held.opening.tries, u.info.Number) {
-		rt.correctAnswersOf(held.opening, held.upstream, u.info.Number)
+		rt.sendCorrection(held.opening, held.upstream, u.info.Number)
 	}
 	return own, true
 }
@@ -185,16 +187,15 @@
 		return
 	}
 	rt.counts.Pinned++
-	rt.pins.held[flow] = pin{upstream: number, since: now}
+	rt.pins.held[flow] = &pin{upstream: number, since: now}
 }
 
 // pinOpening pins a flow whose opening was sent to several upstreams, and corrects the
 // answers of those that it is not open at.
 func (rt *Router) pinOpening(now time.Time, o *opening, number uint64) {
 	rt.pin(now, o.flow, number)
-	if p, ok := rt.pins.held[o.flow]; ok {
+	if p := rt.pins.held[o.flow]; p != nil {
 		p.opening = o
-		rt.pins.held[o.flow] = p
 	}
 	rt.correctAnswers(now, o, number)
 }
