--- a/internal/tokenrouter/correction_test.go
+++ b/internal/tokenrouter/correction_test.go
@@ -96,19 +96,25 @@
 func offerAndSuspend(t *testing.T, w *world, suspended, neighbour *node) *caller {
 	t.Helper()
 	c, o := offerOnce(t, w, suspended)
+	suspended.up = false
+	w.openElsewhere(t, c, o, neighbour, 300*time.Millisecond)
+	return c
+}
+
+// openElsewhere makes a flow that was offered to one upstream open at another one through a
+// neighbour. Answers of the first upstream are lost for the given time.
+func (w *world) openElsewhere(t *testing.T, c *caller, o *opening, neighbour *node, muted time.Duration) {
+	t.Helper()
 	first := w.upstreams[o.tries[0]]
-	first.muted, suspended.up = true, false
-	for _, n := range w.nodes {
-		clear(n.router.coordination.assignment)
-	}
+	first.muted = true
+	w.forgetAssignments()
 	c.via = neighbour
-	w.advance(300 * time.Millisecond)
+	w.advance(muted)
 	first.muted = false
-	w.advance(1700 * time.Millisecond)
+	w.advance(2*time.Second - muted)
 	if c.openedUpstream == 0 || c.openedUpstream == o.tries[0] {
 		t.Fatal("the flow did not open at another upstream")
 	}
-	return c
 }
 
 // An instance is suspended after it has sent an opening packet to an upstream. When it wakes it
@@ -131,8 +137,7 @@
 	w.sessions(20, 400*time.Millisecond, time.Second)
 	n, neighbour := w.nodes[0], w.nodes[1]
 	c, o := offerOnce(t, w, n)
-	first := w.upstreams[o.tries[0]]
-	first.muted = true
+	w.upstreams[o.tries[0]].muted = true
 	for range 10 {
 		n.router.noteRoomShort(w.now, "desk")
 		w.advance(15 * time.Millisecond)
@@ -140,16 +145,8 @@
 	if len(o.tries) != 1 || !n.router.roomShort(w.now, "desk") {
 		t.Fatal("the opening was sent to a second upstream")
 	}
-	for _, n := range w.nodes {
-		clear(n.router.coordination.assignment)
-	}
-	c.via = neighbour
-	w.advance(180 * time.Millisecond)
-	first.muted = false
-	w.advance(8 * time.Second)
-	if c.openedUpstream == 0 || c.openedUpstream == o.tries[0] {
-		t.Fatal("the flow did not open at another upstream")
-	}
+	w.openElsewhere(t, c, o, neighbour, 180*time.Millisecond)
+	w.advance(6 * time.Second)
 	c.checkAnswers(t)
 }
 
@@ -198,13 +195,7 @@
 	other := w.nodes[0]
 	for name, path := range map[string][2]*node{"away from it": {lone, other}, "back to it": {other, lone}} {
 		for range 20 {
-			before := w.openings()
-			c := w.call(deskRoute, path[0])
-			c.keepsOpen = true
-			w.advance(callerDelay + peerDelay/2)
-			c.via = path[1]
-			w.advance(2 * time.Second)
-			if n := w.openings() - before; n != 1 {
+			if n := w.openingsOfMovedFlow(path[0], path[1]); n != 1 {
 				t.Errorf("%s: the opening packet of an open flow was sent to %d upstreams, want 1", name, n)
 			}
 		}
--- a/internal/tokenrouter/pin_test.go
+++ b/internal/tokenrouter/pin_test.go
@@ -26,6 +26,26 @@
 	return n
 }
 
+// forgetAssignments makes all coordinators forget which upstreams they granted, so that another
+// instance that asks for the same flow gets another upstream.
+func (w *world) forgetAssignments() {
+	for _, n := range w.nodes {
+		clear(n.router.coordination.assignment)
+	}
+}
+
+// openingsOfMovedFlow opens a flow through one instance and moves it to another one before its
+// acknowledgement. It returns the number of upstreams that got the opening packet.
+func (w *world) openingsOfMovedFlow(from, to *node) int {
+	before := w.openings()
+	c := w.call(deskRoute, from)
+	c.keepsOpen = true
+	w.advance(callerDelay + peerDelay/2)
+	c.via = to
+	w.advance(2 * time.Second)
+	return w.openings() - before
+}
+
 // sendVia sends a data packet of an open flow through an instance.
 func (c *caller) sendVia(n *node) {
 	c.via = n
@@ -72,13 +92,7 @@
 func TestAcknowledgementThroughAnotherInstanceEndsOpening(t *testing.T) {
 	w := newSmallFleet(t, 81)
 	for range 20 {
-		before := w.openings()
-		c := w.call(deskRoute, w.nodes[0])
-		c.keepsOpen = true
-		w.advance(callerDelay + peerDelay/2)
-		c.via = w.nodes[1]
-		w.advance(2 * time.Second)
-		if n := w.openings() - before; n != 1 {
+		if n := w.openingsOfMovedFlow(w.nodes[0], w.nodes[1]); n != 1 {
 			t.Fatalf("the opening packet of an open flow was sent to %d upstreams, want 1", n)
 		}
 	}
@@ -218,9 +232,7 @@
 	c := w.call(deskRoute, w.nodes[0])
 	c.keepsOpen = true
 	w.advance(100 * time.Millisecond)
-	for _, n := range w.nodes {
-		clear(n.router.coordination.assignment)
-	}
+	w.forgetAssignments()
 	for _, n := range w.nodes[:1] {
 		n.apply(&Packet{Source: c.source, Destination: deskRoute, Role: flow.RoleOpen, Retransmission: 1, Raw: packetOf(0, flow.RoleOpen, 0)})
 	}
@@ -238,9 +250,7 @@
 	w := newSmallFleet(t, 86)
 	first, second := w.nodes[0], w.nodes[1]
 	c, _ := offerOnce(t, w, first)
-	for _, n := range w.nodes {
-		clear(n.router.coordination.assignment)
-	}
+	w.forgetAssignments()
 	second.apply(&Packet{Source: c.source, Destination: deskRoute, Role: flow.RoleOpen, Retransmission: 1, Raw: packetOf(0, flow.RoleOpen, 0)})
 	c.via = second
 	w.advance(500 * time.Millisecond)
@@ -258,9 +268,7 @@
 	w := newSmallFleet(t, 88)
 	first, second := w.nodes[0], w.nodes[1]
 	c, _ := offerOnce(t, w, first)
-	for _, n := range w.nodes {
-		clear(n.router.coordination.assignment)
-	}
+	w.forgetAssignments()
 	w.cutOff = func(a, b *node) bool { return a == second || b == second }
 	second.apply(&Packet{Source: c.source, Destination: deskRoute, Role: flow.RoleOpen, Retransmission: 1, Raw: packetOf(0, flow.RoleOpen, 0)})
 	o := second.router.openings.flows[flowID{c.source, deskRoute}]
--- a/internal/tokenrouter/reach_test.go
+++ b/internal/tokenrouter/reach_test.go
@@ -153,6 +153,16 @@
 	}
 }
 
+// newSlowFleet returns a fleet with a lone instance whose requests take about a second.
+func newSlowFleet(t *testing.T, seed uint64, others int) (w *world, lone *node) {
+	w, lone = newLoneFleet(t, seed, others)
+	w.configureSessions(idleTimeout)
+	for _, u := range w.servers() {
+		u.meanServiceTime = time.Second
+	}
+	return w, lone
+}
+
 // Requests take about a second, so that callers send them again twice before they are answered.
 // No open flow is reset: not when the only instance of a data centre leaves or is killed, whose
 // silence looks like a cut, and not in a quiet hour in which nothing else shows that an
@@ -172,11 +182,7 @@
 	} {
 		for _, others := range []int{2, 3} {
 			t.Run(fmt.Sprintf("%s of %d", name, 3*others+1), func(t *testing.T) {
-				w, lone := newLoneFleet(t, 460, others)
-				w.configureSessions(idleTimeout)
-				for _, u := range w.servers() {
-					u.meanServiceTime = time.Second
-				}
+				w, lone := newSlowFleet(t, 460, others)
 				list := w.sessions(28, 3500*time.Millisecond, 7*time.Second)
 				disturb(w, lone)
 				w.advance(20 * time.Second)
@@ -192,11 +198,7 @@
 // must not lead further flows to them: those of one data centre get about as many each.
 func TestLongRequestsSpreadOverUpstreams(t *testing.T) {
 	for seed := uint64(500); seed < 504; seed++ {
-		w, _ := newLoneFleet(t, seed, 2)
-		w.configureSessions(idleTimeout)
-		for _, u := range w.servers() {
-			u.meanServiceTime = time.Second
-		}
+		w, _ := newSlowFleet(t, seed, 2)
 		list := w.sessions(48, 3500*time.Millisecond, 12*time.Second)
 		w.advance(4 * time.Second)
 		open := make(map[uint64]int)
