--- a/review/standin-3/endpoint.go
+++ b/review/standin-3/endpoint.go
@@ -51,6 +51,11 @@
 	write func(e *endpoint, value []byte)
 	// taken is told each opening packet of a new flow that the endpoint took.
 	taken func(e *endpoint, k flowKey, cold bool)
+	// opened is told each flow that opens at the endpoint, reset each flow that it resets.
+	opened func(e *endpoint, k flowKey)
+	reset  func(e *endpoint, k flowKey)
+	// loses tells whether a packet to a client gets lost.
+	loses func() bool
 
 	mu        sync.Mutex
 	conn      *net.UDPConn
@@ -215,14 +220,17 @@
 	case f == nil && p.flags&flagFin != 0:
 		e.send(&endpointFlow{key: k, echo: p.echo}, &packet{flags: flagAck, sequence: p.acknowledge, acknowledge: p.sequence + 1})
 	case f == nil:
-		e.reset(k, p)
+		e.refuse(k, p)
 	default:
 		e.handleOpen(f, p)
 	}
 }
 
-// reset resets a flow that the endpoint does not hold. The caller holds mu.
-func (e *endpoint) reset(k flowKey, p *packet) {
+// refuse resets a flow that the endpoint does not hold. The caller holds mu.
+func (e *endpoint) refuse(k flowKey, p *packet) {
+	if e.reset != nil {
+		e.reset(e, k)
+	}
 	e.record.line("endpoint %s resets %s", e.id, k.client)
 	e.send(&endpointFlow{key: k, echo: p.echo}, &packet{flags: flagReset, sequence: p.acknowledge})
 }
@@ -232,11 +240,14 @@
 	f.echo = p.echo
 	if !f.open {
 		if p.acknowledge != f.sequence+1 {
-			e.reset(f.key, p)
+			e.refuse(f.key, p)
 			return
 		}
 		f.open, f.pending = true, nil
 		f.sequence++
+		if e.opened != nil {
+			e.opened(e, f.key)
+		}
 	}
 	if f.pending != nil && p.acknowledge == f.sequence {
 		f.pending = nil
@@ -285,7 +296,11 @@
 
 func (e *endpoint) send(f *endpointFlow, p *packet) {
 	p.source, p.destination, p.echo = f.key.service, f.key.client, f.echo
-	_, _ = e.conn.WriteToUDPAddrPort(p.append(nil), netip.AddrPortFrom(f.key.client.Addr(), e.port))
+	if e.loses != nil && e.loses() {
+		return
+	}
+	conn, b, to := e.conn, p.append(nil), netip.AddrPortFrom(f.key.client.Addr(), e.port)
+	time.AfterFunc(clientDelay, func() { _, _ = conn.WriteToUDPAddrPort(b, to) })
 }
 
 func (e *endpoint) retransmit(stop chan struct{}) {
--- a/review/standin-3/router.go
+++ b/review/standin-3/router.go
@@ -13,6 +13,8 @@
 const (
 	probeInterval = 500 * time.Millisecond
 	maxMisses     = 2
+	// clientDelay is the time that a packet takes from or to a client.
+	clientDelay = 3 * time.Millisecond
 )
 
 // router is a stand-in of the platform's routers of one zone.
@@ -95,7 +97,7 @@
 }
 
 func (r *router) send(k flowKey, b []byte) {
-	_, _ = r.conn.WriteToUDPAddrPort(b, r.pick(k).packets)
+	time.AfterFunc(clientDelay, func() { _, _ = r.conn.WriteToUDPAddrPort(b, r.pick(k).packets) })
 }
 
 // readyCount returns the number of instances in rotation.
