--- a/review/standin-3/lateentry.go
+++ b/review/standin-3/lateentry.go
@@ -61,6 +61,36 @@
 	return most
 }
 
+// watchCold counts what the cold endpoints of a deployment get.
+func watchCold(b *bed) *coldCount {
+	count := &coldCount{sent: make(map[flowKey]time.Time), arrivals: make(map[*endpoint][]arrival)}
+	for _, e := range b.endpoints {
+		e.taken = count.noteTaken
+	}
+	for _, c := range b.clients {
+		c.sent = count.noteSent
+	}
+	return count
+}
+
+// verdict compares the count with the bound.
+func (c *coldCount) verdict(b *bed) int {
+	answered, lost := int64(0), int64(0)
+	for _, c := range b.clients {
+		answered, lost = answered+c.answered.Load(), lost+c.failed.Load()
+	}
+	most, bound := c.most(), b.coldPerS*coldOverage+coldSlack
+	b.record.line("%d requests answered, %d not; a cold endpoint got %d requests in one second at most, the bound is %.1f", answered, lost, most, bound)
+	switch {
+	case answered < 1000:
+		return failed
+	case float64(most) > bound:
+		return broken
+	default:
+		return held
+	}
+}
+
 // playLateEntry crashes an endpoint that starts again under its id, while the store does one
 // of its writes late: an entry of the process of before replaces that of the cold one.
 func playLateEntry(r *record, trouble string) (int, error) {
@@ -69,13 +99,7 @@
 		return failed, err
 	}
 	defer b.stop()
-	count := &coldCount{sent: make(map[flowKey]time.Time), arrivals: make(map[*endpoint][]arrival)}
-	for _, e := range b.endpoints {
-		e.taken = count.noteTaken
-	}
-	for _, c := range b.clients {
-		c.sent = count.noteSent
-	}
+	count := watchCold(b)
 	if err := b.start(); err != nil {
 		return failed, err
 	}
@@ -86,54 +110,51 @@
 	}
 	time.Sleep(5 * time.Second)
 	if trouble != withoutTrouble {
-		if err := crashAndReturn(r, b.endpoints[0], trouble != "crash"); err != nil {
+		if err := crashAndReturn(b.endpoints[0], trouble != "crash"); err != nil {
 			return failed, err
 		}
 	}
 	clients.Wait()
-	answered, lost := int64(0), int64(0)
-	for _, c := range b.clients {
-		answered, lost = answered+c.answered.Load(), lost+c.failed.Load()
-	}
-	most, bound := count.most(), b.coldPerS*coldOverage+coldSlack
-	r.line("%d requests answered, %d not; a cold endpoint got %d requests in one second at most, the bound is %.1f", answered, lost, most, bound)
-	switch {
-	case answered < 1000:
-		return failed, nil
-	case float64(most) > bound:
-		return broken, nil
-	default:
-		return held, nil
+	return count.verdict(b), nil
+}
+
+// crashAndReturn crashes an endpoint after its next write and starts it again. With late set,
+// the store does that write after the endpoint has started.
+func crashAndReturn(e *endpoint, late bool) error {
+	wrote := make(chan struct{})
+	by := time.Duration(0)
+	if late {
+		by = lateBy
 	}
+	e.loseWrite(by, func() { close(wrote) })
+	<-wrote
+	time.Sleep(crashAfter)
+	e.crash()
+	time.Sleep(backAfter - crashAfter)
+	return e.start(true)
 }
 
-// crashAndReturn lets the next write of an endpoint be done late, and crashes and starts the
-// endpoint meanwhile. With lost unset that write is done at once.
-func crashAndReturn(r *record, e *endpoint, lost bool) error {
+// loseWrite makes the store give no answer to the next write of the endpoint, and do it
+// later by a time. wrote is called when the endpoint writes.
+func (e *endpoint) loseWrite(by time.Duration, wrote func()) {
 	var once sync.Once
-	wrote := make(chan struct{})
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.write = func(e *endpoint, value []byte) {
 		first := false
 		once.Do(func() { first = true })
-		if first {
-			close(wrote)
-		}
-		if !first || !lost {
-			r.line("store does a write of %s: %s", e.id, value)
+		if !first || by == 0 {
+			e.record.line("store does a write of %s: %s", e.id, value)
 			e.put(value)
-			return
+		} else {
+			e.record.line("store gives no answer to a write of %s: %s", e.id, value)
+			time.AfterFunc(by, func() {
+				e.record.line("store does the late write of %s: %s", e.id, value)
+				e.put(value)
+			})
+		}
+		if first {
+			wrote()
 		}
-		r.line("store gives no answer to a write of %s: %s", e.id, value)
-		time.AfterFunc(lateBy, func() {
-			r.line("store does the late write of %s: %s", e.id, value)
-			e.put(value)
-		})
 	}
-	e.mu.Unlock()
-	<-wrote
-	time.Sleep(crashAfter)
-	e.crash()
-	time.Sleep(backAfter - crashAfter)
-	return e.start(true)
 }
