--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -22,7 +22,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin-3 CASE RECORD")
 		os.Exit(failed)
 	}
-	cases := map[string]func(r *record, trouble string) (int, error){"late-entry": playLateEntry, "open-flow": playOpenFlow, "evacuation": playEvacuation}
+	cases := map[string]func(r *record, trouble string) (int, error){"late-entry": playLateEntry, "open-flow": playOpenFlow, "evacuation": playEvacuation, "drain": playDrain}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
